--- /dev/null
+++ b/base/src/ids.cc
@@ -0,0 +1,14 @@
+#include "cardamomchute/base/ids.h"
+
+namespace cardamomchute {
+
+std::string ToString(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+std::string ToString(const Floor& floor) {
+  return std::to_string(floor.term.value()) + "/" +
+         std::to_string(floor.position.value());
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/peers/include/cardamomchute/peers/link.h
@@ -0,0 +1,86 @@
+/// A framed TCP connection between two of the system's processes.
+///
+/// A frame is a 4-byte big-endian length, a type byte, and a msgpack body.
+/// Heartbeats go out while nothing else does; a link that stays silent for
+/// `kLinkSilence` counts as lost, since a connection may go silent for good
+/// while new ones work.
+#ifndef CARDAMOMCHUTE_PEERS_LINK_H_
+#define CARDAMOMCHUTE_PEERS_LINK_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "cardamomchute/base/ids.h"
+#include "cardamomchute/base/time.h"
+
+namespace cardamomchute {
+
+inline constexpr Duration kLinkHeartbeat = Millis(200);
+inline constexpr Duration kLinkSilence = Millis(1000);
+inline constexpr uint32_t kMaxFrameBytes = 64 * 1024 * 1024;
+/// A first frame longer than this closes the link: no peer sends one.
+inline constexpr uint32_t kMaxHelloBytes = 4096;
+/// Unsent bytes beyond this close the link: the other end no longer reads.
+inline constexpr size_t kMaxUnsentBytes = 128 * 1024 * 1024;
+
+/// What a frame carries. One numbering for all protocols between VMs.
+enum class FrameType : uint8_t {
+  kHeartbeat = 0,
+  kHello = 1,
+  kChannel = 2,  ///< ChannelEnvelope, see channel_mesh.h
+  kProbe = 3,
+  kControl = 4,  ///< messages of the control quorum and its clients
+};
+
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+  using FrameHandler = std::function<void(FrameType, std::string_view)>;
+  using LostHandler = std::function<void(const std::string& reason)>;
+
+  /// Takes over a connected socket; all calls and handlers on its executor.
+  explicit Link(Socket socket);
+
+  /// Begins to read. `on_lost` runs once, never within Start or Send.
+  void Start(FrameHandler on_frame, LostHandler on_lost);
+  void Send(FrameType type, std::string body);
+  /// Closes without calling `on_lost`.
+  void Close();
+  size_t unsent_bytes() const { return unsent_bytes_; }
+  const std::string& remote() const { return remote_; }
+
+ private:
+  void Read();
+  void ParseFrames();
+  void Write();
+  void Tick();
+  void Lose(const std::string& reason);
+
+  Socket socket_;
+  boost::asio::steady_timer timer_;
+  std::string remote_;
+  FrameHandler on_frame_;
+  LostHandler on_lost_;
+  std::string in_;
+  size_t in_used_ = 0;
+  std::string queued_;
+  std::string writing_;
+  size_t unsent_bytes_ = 0;
+  Time last_read_;
+  Time last_write_;
+  bool got_frame_ = false;
+  bool lost_ = false;
+};
+
+/// Connects to `address` within `timeout`; the link is null on failure.
+void ConnectLink(boost::asio::any_io_executor executor, Address address,
+                 Duration timeout,
+                 std::function<void(std::shared_ptr<Link>)> done);
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_PEERS_LINK_H_
--- /dev/null
+++ b/policy/include/cardamomchute/policy/classify.h
@@ -0,0 +1,49 @@
+/// Decides from a statement's text what it certainly is. No parser: tokens
+/// only, and everything that is not certain counts as a write.
+#ifndef CARDAMOMCHUTE_POLICY_CLASSIFY_H_
+#define CARDAMOMCHUTE_POLICY_CLASSIFY_H_
+
+#include <string>
+#include <string_view>
+
+namespace cardamomchute {
+
+enum class SqlKind {
+  kRead,         ///< certainly a plain read, e.g. SELECT without side effects
+  kWrite,        ///< may write, or calls a function not known to be harmless
+  kBegin,        ///< BEGIN / START TRANSACTION
+  kReadBegin,    ///< BEGIN READ ONLY
+  kCommit,       ///< COMMIT / END
+  kRollback,     ///< ROLLBACK / ABORT (not TO SAVEPOINT)
+  kSet,          ///< SET / RESET of a session setting; replayed on reuse
+  kSetLocal,     ///< SET LOCAL, SET TRANSACTION
+  kProductSet,   ///< SET cardamomchute.*; answered by the entry
+  kProductShow,  ///< SHOW cardamomchute.*; answered by the entry
+  kPrepare,      ///< PREPARE name AS ...; replayed on reuse
+  kExecute,      ///< EXECUTE name
+  kDeallocate,   ///< DEALLOCATE
+  kDiscard,      ///< DISCARD ALL
+  kEmpty,        ///< nothing but blanks and comments
+  kMulti,        ///< several statements in one string
+  kUnsupported   ///< LISTEN, COPY, temporary tables, session locks, cursors
+                 ///< WITH HOLD; refused with 0A000
+};
+
+struct SqlClass {
+  SqlKind kind = SqlKind::kWrite;
+  /// kSet, kProductSet, kProductShow: the setting; kPrepare, kExecute,
+  /// kDeallocate: the statement's name; kUnsupported: what is not supported.
+  std::string name;
+  /// kSet and kProductSet: the value's text without quotes.
+  std::string value;
+};
+
+/// Classifies one SQL string.
+///
+///     Classify("select 1").kind == SqlKind::kRead
+///     Classify("select f()").kind == SqlKind::kWrite
+SqlClass Classify(std::string_view sql);
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_POLICY_CLASSIFY_H_
