--- a/tools/standin/src/select.cc
+++ b/tools/standin/src/select.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <boost/outcome/try.hpp>
 #include <limits>
+#include <set>
 
 namespace cardamomchute::standin {
 namespace {
 
-/// The columns of a table's key that `where` sets equal to something.
+/// Finds the row keys that `where` leaves over, when it names the columns of
+/// the table's key: each equal to a constant, or a single one IN constants.
 class KeyFinder {
  public:
   KeyFinder(const RunContext& context, const TableDef& table)
@@ -16,20 +18,21 @@
     scope_.call = &context.call;
   }
 
-  /// The row key, when `where` gives all its columns.
-  std::optional<std::string> Find(const Expr& where) {
+  std::optional<std::vector<std::string>> Find(const Expr& where) {
     if (table_.key.empty()) return std::nullopt;
     Visit(where);
+    if (listed_) return listed_;
     Row row(key_.size());
     for (uint32_t index : table_.key) {
       if (!key_[index]) return std::nullopt;
       row[index] = *key_[index];
     }
-    return table_.KeyOf(row);
+    return std::vector<std::string>{table_.KeyOf(row)};
   }
 
  private:
   void Visit(const Expr& e) {
+    if (e.kind == ExprKind::kIn) return VisitIn(e);
     if (e.kind != ExprKind::kBinary) return;
     if (e.text == "and") {
       Visit(e.args[0]);
@@ -40,21 +43,45 @@
     Take(e.args[1], e.args[0]);
   }
 
+  void VisitIn(const Expr& e) {
+    std::optional<size_t> index = ColumnOf(e.args[0]);
+    if (!index || table_.key.size() != 1 || table_.key[0] != *index) return;
+    std::set<std::string> keys;
+    for (size_t i = 1; i < e.args.size(); ++i) {
+      std::optional<Value> value = Constant(e.args[i], *index);
+      if (!value) return;
+      keys.insert(value->text);
+    }
+    listed_.emplace(keys.begin(), keys.end());
+  }
+
   void Take(const Expr& column, const Expr& value) {
-    bool constant =
-        value.kind == ExprKind::kLiteral || value.kind == ExprKind::kParam;
-    if (column.kind != ExprKind::kColumn || !constant) return;
-    std::optional<size_t> index = table_.ColumnIndex(column.text);
+    std::optional<size_t> index = ColumnOf(column);
     if (!index) return;
-    SqlResult<Value> v = Evaluate(value, scope_);
-    if (!v || v.value().null) return;
-    SqlResult<Value> cast = Cast(v.value(), table_.columns[*index].type);
-    if (cast) key_[*index] = cast.value();
+    std::optional<Value> constant = Constant(value, *index);
+    if (constant) key_[*index] = std::move(constant);
+  }
+
+  std::optional<size_t> ColumnOf(const Expr& e) const {
+    if (e.kind != ExprKind::kColumn) return std::nullopt;
+    return table_.ColumnIndex(e.text);
+  }
+
+  /// The value as the column holds it; nothing when it is none.
+  std::optional<Value> Constant(const Expr& e, size_t column) const {
+    bool constant = e.kind == ExprKind::kLiteral || e.kind == ExprKind::kParam;
+    if (!constant) return std::nullopt;
+    SqlResult<Value> v = Evaluate(e, scope_);
+    if (!v || v.value().null) return std::nullopt;
+    SqlResult<Value> cast = Cast(v.value(), table_.columns[column].type);
+    if (!cast) return std::nullopt;
+    return cast.value();
   }
 
   const TableDef& table_;
   Scope scope_;
   std::vector<std::optional<Value>> key_;
+  std::optional<std::vector<std::string>> listed_;
 };
 
 Scope BaseScope(const RunContext& context, const TableDef* table) {
@@ -264,14 +291,16 @@
   Scope scope = BaseScope(context, &table);
   // Names are checked even where there is no row to compare.
   BOOST_OUTCOME_TRY(Matches(where, scope));
-  std::optional<std::string> key;
-  if (where) key = KeyFinder(context, table).Find(*where);
-  if (key) {
-    RowPtr row = context.view.Get(table.name, *key);
-    if (!row) return matched;
-    scope.row = row.get();
-    BOOST_OUTCOME_TRY(matches, Matches(where, scope));
-    if (matches) matched.emplace_back(*key, row);
+  std::optional<std::vector<std::string>> keys;
+  if (where) keys = KeyFinder(context, table).Find(*where);
+  if (keys) {
+    for (const std::string& key : *keys) {
+      RowPtr row = context.view.Get(table.name, key);
+      if (!row) continue;
+      scope.row = row.get();
+      BOOST_OUTCOME_TRY(matches, Matches(where, scope));
+      if (matches) matched.emplace_back(key, row);
+    }
     return matched;
   }
   std::optional<SqlError> failed;
