--- a/tools/standin/src/connection.cc
+++ b/tools/standin/src/connection.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t kReadBytes = 16 * 1024;
+constexpr char kTerminate = 'X';
 
 using boost::asio::redirect_error;
 using boost::asio::use_awaitable;
@@ -80,17 +81,30 @@
 
 void Connection::StartWatch(std::function<void()> lost) {
   watch_ = std::make_shared<bool>(true);
-  std::shared_ptr<bool> watch = watch_;
+  Watch(watch_, std::move(lost));
+}
+
+void Connection::Watch(std::shared_ptr<bool> watch,
+                       std::function<void()> lost) {
   socket_.async_wait(Socket::wait_read, [this, watch, lost](error_code failed) {
     if (!*watch || failed) return;
-    char byte = 0;
-    error_code at_end;
-    socket_.receive(boost::asio::buffer(&byte, 1), Socket::message_peek,
-                    at_end);
-    if (at_end) lost();
+    if (!ReadAhead()) return lost();
+    if (in_.size() < kWatchBytes) Watch(watch, lost);
   });
 }
 
+bool Connection::ReadAhead() {
+  size_t size = in_.size();
+  in_.resize(size + kReadBytes);
+  error_code failed;
+  socket_.non_blocking(true, failed);
+  size_t read = socket_.read_some(
+      boost::asio::buffer(in_.data() + size, kReadBytes), failed);
+  in_.resize(size + read);
+  if (failed && failed != boost::asio::error::would_block) return false;
+  return in_.size() == in_used_ || in_[in_used_] != kTerminate;
+}
+
 void Connection::StopWatch() {
   if (!watch_) return;
   *watch_ = false;
--- a/tools/standin/src/connection.h
+++ b/tools/standin/src/connection.h
@@ -17,6 +17,9 @@
 /// Answers gather to this size before they are written.
 inline constexpr size_t kFlushBytes = 64 * 1024;
 
+/// Watching reads ahead to this size.
+inline constexpr size_t kWatchBytes = 64 * 1024;
+
 /// A message of its own memory.
 struct OwnedMessage {
   char type = 0;
@@ -41,8 +44,8 @@
   /// False when the peer is gone.
   boost::asio::awaitable<bool> Flush();
 
-  /// Calls `lost` once the peer closes, till StopWatch. What arrives
-  /// meanwhile is read later.
+  /// Calls `lost` once the peer closes or says goodbye, till StopWatch. What
+  /// arrives meanwhile is kept, up to kWatchBytes.
   void StartWatch(std::function<void()> lost);
   void StopWatch();
 
@@ -53,6 +56,9 @@
 
  private:
   boost::asio::awaitable<bool> ReadMore();
+  void Watch(std::shared_ptr<bool> watch, std::function<void()> lost);
+  /// False when the peer is gone or the next message is its goodbye.
+  bool ReadAhead();
 
   Socket socket_;
   std::string in_;
--- a/tools/standin/src/executor.cc
+++ b/tools/standin/src/executor.cc
@@ -317,7 +317,7 @@
   }
   if (Is<CreateSchema>(statement)) return Tagged("CREATE SCHEMA");
   if (const Savepoint* savepoint = std::get_if<Savepoint>(&statement.body)) {
-    BOOST_OUTCOME_TRY(tag, RunSavepoint(*savepoint, &session_));
+    BOOST_OUTCOME_TRY(tag, RunSavepoint(*savepoint, host_.member, &session_));
     return Tagged(tag);
   }
   SqlResult<std::string> tag = std::visit(
--- a/tools/standin/src/executor.h
+++ b/tools/standin/src/executor.h
@@ -20,7 +20,7 @@
 /// What all sessions of a member share.
 struct Host {
   Member* member = nullptr;
-  Slots* slots = nullptr;
+  std::shared_ptr<Slots> slots;
   std::chrono::microseconds service{0};
   /// Carries out ALTER SYSTEM SET primary_conninfo at the next reload.
   std::function<void(const Address& primary)> follow;
--- a/tools/standin/src/locks.cc
+++ b/tools/standin/src/locks.cc
@@ -53,17 +53,23 @@
   }
 }
 
-void Locks::ReleaseAll(TransactionId transaction) {
+void Locks::Release(TransactionId transaction, size_t keep) {
   auto held = held_.find(transaction);
   if (held == held_.end()) return;
-  std::vector<std::string> names = std::move(held->second);
-  held_.erase(held);
-  for (const std::string& name : names) {
-    auto holder = holders_.find(name);
+  std::vector<std::string>& names = held->second;
+  while (names.size() > keep) {
+    auto holder = holders_.find(names.back());
     std::vector<Waiter*> waiting = std::move(holder->second.waiting);
     holders_.erase(holder);
+    names.pop_back();
     for (Waiter* waiter : waiting) waiter->Wake();
   }
+  if (names.empty()) held_.erase(held);
+}
+
+size_t Locks::CountOf(TransactionId transaction) const {
+  auto held = held_.find(transaction);
+  return held == held_.end() ? 0 : held->second.size();
 }
 
 }  // namespace cardamomchute::standin
--- a/tools/standin/src/locks.h
+++ b/tools/standin/src/locks.h
@@ -27,7 +27,10 @@
                                                   const std::string& key,
                                                   Waiter* waiter);
 
-  void ReleaseAll(TransactionId transaction);
+  /// Gives up all that the transaction locked after its first `keep` locks.
+  void Release(TransactionId transaction, size_t keep = 0);
+  /// How many locks the transaction holds.
+  size_t CountOf(TransactionId transaction) const;
   size_t held() const { return holders_.size(); }
 
  private:
--- a/tools/standin/src/server.cc
+++ b/tools/standin/src/server.cc
@@ -27,10 +27,9 @@
       options_(std::move(options)),
       member_(io->get_executor(), !options_.primary, options_.lag,
               HistoryFile(options_.id.value(), options_.history_path)),
-      slots_(options_.slots),
       follower_(io->get_executor(), &member_) {
   host_.member = &member_;
-  host_.slots = &slots_;
+  host_.slots = std::make_shared<Slots>(options_.slots);
   host_.service = options_.service;
   host_.follow = [this](const Address& primary) {
     Address repl = primary;
@@ -134,7 +133,7 @@
   } else if (request.path == "/slots") {
     std::optional<int64_t> n = request.Number("n");
     if (!n) return support::BadRequest("slots needs n=N");
-    slots_.SetLimit(static_cast<size_t>(*n));
+    host_.slots->SetLimit(static_cast<size_t>(*n));
   } else {
     return AdminResponse{404, "{}\n"};
   }
@@ -151,9 +150,9 @@
   state["replayed"] = member_.replayed().value();
   state["lag_ms"] = member_.lag().ms();
   state["service_us"] = host_.service.count();
-  state["slots"] = slots_.limit();
-  state["slots_used"] = slots_.used();
-  state["waiting"] = slots_.waiting();
+  state["slots"] = host_.slots->limit();
+  state["slots_used"] = host_.slots->used();
+  state["waiting"] = host_.slots->waiting();
   state["connections"] = registry_.sessions.size();
   state["followers"] = replication_ ? replication_->followers() : 0;
   state["follows"] = follower_.primary() ? ToString(*follower_.primary()) : "";
--- a/tools/standin/src/server.h
+++ b/tools/standin/src/server.h
@@ -51,6 +51,9 @@
   /// Announces the leave, lets sessions finish, then stops the io_context.
   void Shutdown();
 
+  /// A member's replication port less its PostgreSQL port, from now on.
+  void SetReplOffset(int offset) { options_.repl_offset = offset; }
+
   uint16_t port() const { return port_; }
   uint16_t repl_port() const { return repl_port_; }
   Member& member() { return member_; }
@@ -66,7 +69,6 @@
   boost::asio::io_context& io_;
   ServerOptions options_;
   Member member_;
-  Slots slots_;
   Host host_;
   SessionRegistry registry_;
   Follower follower_;
--- a/tools/standin/src/session_state.h
+++ b/tools/standin/src/session_state.h
@@ -22,6 +22,7 @@
   std::string name;
   Overlay overlay;
   SettingsMap::Values settings;
+  size_t locks = 0;  ///< held when it was set
 };
 
 struct Transaction {
--- a/tools/standin/src/slots.cc
+++ b/tools/standin/src/slots.cc
@@ -1,21 +1,24 @@
 #include "slots.h"
 
-#include <algorithm>
-
 namespace cardamomchute::standin {
 
+Slots::Ticket::Ticket(Slots* the_slots, Waiter* the_waiter)
+    : slots(the_slots), waiter(the_waiter) {
+  slots->queue_.push_back(this);
+}
+
+Slots::Ticket::~Ticket() {
+  if (!granted) std::erase(slots->queue_, this);
+}
+
 boost::asio::awaitable<SqlResult<void>> Slots::Acquire(Waiter* waiter) {
   if (used_ < limit_ && queue_.empty()) {
     ++used_;
     co_return SqlOk();
   }
-  Ticket ticket{waiter, false};
-  queue_.push_back(&ticket);
+  Ticket ticket(this, waiter);
   while (!ticket.granted) {
-    if (std::optional<SqlError> e = waiter->Interruption()) {
-      queue_.erase(std::find(queue_.begin(), queue_.end(), &ticket));
-      co_return *e;
-    }
+    if (std::optional<SqlError> e = waiter->Interruption()) co_return *e;
     co_await waiter->Until(SteadyTime::max());
   }
   co_return SqlOk();
--- a/tools/standin/src/slots.h
+++ b/tools/standin/src/slots.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <utility>
 
 #include "waiter.h"
@@ -25,8 +26,15 @@
   size_t waiting() const { return queue_.size(); }
 
  private:
+  /// A place in the queue; leaves it when it goes out of scope.
   struct Ticket {
-    Waiter* waiter = nullptr;
+    Ticket(Slots* the_slots, Waiter* the_waiter);
+    ~Ticket();
+    Ticket(const Ticket&) = delete;
+    Ticket& operator=(const Ticket&) = delete;
+
+    Slots* slots;
+    Waiter* waiter;
     bool granted = false;
   };
 
@@ -40,10 +48,8 @@
 /// Gives a slot back when it goes out of scope.
 class HeldSlot {
  public:
-  explicit HeldSlot(Slots* slots) : slots_(slots) {}
-  HeldSlot(HeldSlot&& other) noexcept : slots_(other.slots_) {
-    other.slots_ = nullptr;
-  }
+  explicit HeldSlot(std::shared_ptr<Slots> slots) : slots_(std::move(slots)) {}
+  HeldSlot(HeldSlot&& other) noexcept = default;
   HeldSlot& operator=(HeldSlot&& other) noexcept {
     std::swap(slots_, other.slots_);
     return *this;
@@ -58,7 +64,7 @@
   }
 
  private:
-  Slots* slots_;
+  std::shared_ptr<Slots> slots_;
 };
 
 }  // namespace cardamomchute::standin
--- a/tools/standin/src/transaction_control.cc
+++ b/tools/standin/src/transaction_control.cc
@@ -6,7 +6,7 @@
 namespace {
 
 void End(Member* member, SessionState* session) {
-  member->locks().ReleaseAll(session->transaction->id);
+  member->locks().Release(session->transaction->id);
   session->transaction.reset();
 }
 
@@ -53,14 +53,15 @@
 
 void FailTransaction(Member* member, SessionState* session) {
   if (!session->transaction) return;
-  if (session->transaction->block) {
-    session->transaction->failed = true;
-    return;
-  }
-  RollbackTransaction(member, session);
+  Transaction& transaction = *session->transaction;
+  if (!transaction.block) return RollbackTransaction(member, session);
+  transaction.failed = true;
+  size_t keep =
+      transaction.savepoints.empty() ? 0 : transaction.savepoints.back().locks;
+  member->locks().Release(transaction.id, keep);
 }
 
-SqlResult<std::string> RunSavepoint(const Savepoint& savepoint,
+SqlResult<std::string> RunSavepoint(const Savepoint& savepoint, Member* member,
                                     SessionState* session) {
   Transaction& transaction = *session->transaction;
   if (!transaction.block) {
@@ -70,7 +71,8 @@
   std::vector<SavedPoint>& points = transaction.savepoints;
   if (savepoint.action == SavepointAction::kSet) {
     points.push_back(SavedPoint{savepoint.name, transaction.overlay,
-                                session->settings.values()});
+                                session->settings.values(),
+                                member->locks().CountOf(transaction.id)});
     return std::string("SAVEPOINT");
   }
   auto found = std::find_if(
@@ -87,6 +89,7 @@
   points.erase(found.base(), points.end());
   transaction.overlay = points.back().overlay;
   session->settings.Restore(points.back().settings);
+  member->locks().Release(transaction.id, points.back().locks);
   transaction.failed = false;
   return std::string("ROLLBACK");
 }
--- a/tools/standin/src/transaction_control.h
+++ b/tools/standin/src/transaction_control.h
@@ -20,11 +20,12 @@
 SqlResult<void> CommitTransaction(Member* member, SessionState* session);
 void RollbackTransaction(Member* member, SessionState* session);
 
-/// An error in a block fails the block; elsewhere it ends the transaction.
+/// An error in a block fails the block, which gives up its locks back to the
+/// last savepoint; elsewhere it ends the transaction.
 void FailTransaction(Member* member, SessionState* session);
 
 /// 3B001 when there is no savepoint of that name.
-SqlResult<std::string> RunSavepoint(const Savepoint& savepoint,
+SqlResult<std::string> RunSavepoint(const Savepoint& savepoint, Member* member,
                                     SessionState* session);
 
 }  // namespace cardamomchute::standin
