Serve callers: startup, simple and extended batches through channels

Statement.changes_state tells the owner that the connection's session state may differ from `setup` afterwards (SET, PREPARE). SqlClass gains read_only, SAVEPOINT, ROLLBACK TO and DECLARE; ClassifyParts splits a string.

--- a/callers/include/cardamomchute/callers/caller_server.h
+++ b/callers/include/cardamomchute/callers/caller_server.h
@@ -44,6 +44,9 @@
 
   size_t callers() const;
 
+  /// The port it listens on, once started.
+  uint16_t port() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/channel/include/cardamomchute/channel/channel.h
+++ b/channel/include/cardamomchute/channel/channel.h
@@ -69,8 +69,11 @@
   std::vector<std::string> prepared;
   std::string bytes;     ///< frontend messages in protocol framing
   bool complete = true;  ///< false: StatementData follows until complete
+  /// It may leave the connection in another state than `setup` says (SET,
+  /// PREPARE): only this session may use it before it is reset.
+  bool changes_state = false;
   MSGPACK_DEFINE(number, kind, rank, max_staleness, deadline, operation_key,
-                 setup_hash, setup, prepared, bytes, complete)
+                 setup_hash, setup, prepared, bytes, complete, changes_state)
 };
 
 /// More bytes of the statement that is under way (after Flush, or COPY data).
--- a/policy/include/cardamomchute/policy/classify.h
+++ b/policy/include/cardamomchute/policy/classify.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cardamomchute {
 
@@ -23,6 +24,9 @@
   kExecute,      ///< EXECUTE name
   kDeallocate,   ///< DEALLOCATE
   kDiscard,      ///< DISCARD ALL
+  kSavepoint,    ///< SAVEPOINT name
+  kRollbackTo,   ///< ROLLBACK TO name
+  kDeclare,      ///< DECLARE of a cursor that ends with its transaction
   kEmpty,        ///< nothing but blanks and comments
   kMulti,        ///< several statements in one string
   kUnsupported   ///< LISTEN, COPY, temporary tables, session locks, cursors
@@ -32,10 +36,21 @@
 struct SqlClass {
   SqlKind kind = SqlKind::kWrite;
   /// kSet, kProductSet, kProductShow: the setting; kPrepare, kExecute,
-  /// kDeallocate: the statement's name; kUnsupported: what is not supported.
+  /// kDeallocate: the statement's name ("" for all); kSavepoint, kRollbackTo:
+  /// the savepoint; kUnsupported: what is not supported.
   std::string name;
-  /// kSet and kProductSet: the value's text without quotes.
+  /// kSet and kProductSet: the value's text without quotes, empty for RESET
+  /// and DEFAULT. kUnsupported: what to do instead.
   std::string value;
+  /// kPrepare: what it prepares is certainly a read. kExecute: its arguments
+  /// call nothing that may write.
+  bool read_only = false;
+};
+
+/// One statement of a string that may hold several.
+struct SqlPart {
+  SqlClass sql_class;
+  std::string text;
 };
 
 /// Classifies one SQL string.
@@ -44,6 +59,10 @@
 ///     Classify("select f()").kind == SqlKind::kWrite
 SqlClass Classify(std::string_view sql);
 
+/// Splits a string at its semicolons and classifies each statement; blanks and
+/// comments alone make no part.
+std::vector<SqlPart> ClassifyParts(std::string_view sql);
+
 }  // namespace cardamomchute
 
 #endif  // CARDAMOMCHUTE_POLICY_CLASSIFY_H_
--- /dev/null
+++ b/policy/src/session_state.cc
@@ -0,0 +1,169 @@
+#include "cardamomchute/policy/session_state.h"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+
+namespace cardamomchute {
+namespace {
+
+bool IsPrepare(const SqlPart& part) {
+  return part.sql_class.kind == SqlKind::kPrepare;
+}
+
+/// Drops settings that a later one of the same name (or RESET ALL) replaces.
+/// What was set before a PREPARE stays: the PREPARE was read under it.
+void DropReplaced(const std::string& name, std::vector<SqlPart>* kept) {
+  std::vector<SqlPart>::iterator after_prepare = kept->end();
+  while (after_prepare != kept->begin() && !IsPrepare(after_prepare[-1])) {
+    --after_prepare;
+  }
+  kept->erase(std::remove_if(after_prepare, kept->end(),
+                             [&](const SqlPart& part) {
+                               return name == "all" ||
+                                      part.sql_class.name == name;
+                             }),
+              kept->end());
+}
+
+void Keep(const SqlPart& part, SessionState* state) {
+  if (part.sql_class.kind == SqlKind::kSet) {
+    DropReplaced(part.sql_class.name, &state->kept);
+  }
+  bool first_reset =
+      part.sql_class.value.empty() && part.sql_class.kind == SqlKind::kSet &&
+      std::none_of(state->kept.begin(), state->kept.end(), IsPrepare);
+  if (first_reset) return;  // nothing is left for it to take back
+  state->kept.push_back(part);
+}
+
+void CommitPending(SessionState* state) {
+  if (state->pending.empty()) return;
+  for (const SqlPart& part : state->pending) {
+    if (part.sql_class.kind != SqlKind::kSavepoint) Keep(part, state);
+  }
+  state->pending.clear();
+  ++state->revision;
+}
+
+void RollBackTo(const std::string& savepoint, SessionState* state) {
+  std::vector<SqlPart>& pending = state->pending;
+  std::vector<SqlPart>::reverse_iterator mark =
+      std::find_if(pending.rbegin(), pending.rend(), [&](const SqlPart& part) {
+        return part.sql_class.kind == SqlKind::kSavepoint &&
+               part.sql_class.name == savepoint;
+      });
+  pending.erase(mark.base(), pending.end());
+}
+
+}  // namespace
+
+void SetBase(std::vector<std::string> base, SessionState* state) {
+  state->base = std::move(base);
+  ++state->revision;
+}
+
+void OnCompleted(const SqlPart& part, SessionState* state) {
+  switch (part.sql_class.kind) {
+    case SqlKind::kSet:
+    case SqlKind::kPrepare:
+    case SqlKind::kSavepoint:
+      state->pending.push_back(part);
+      return;
+    case SqlKind::kCommit:
+      CommitPending(state);
+      return;
+    case SqlKind::kRollback:
+      state->pending.clear();
+      return;
+    case SqlKind::kRollbackTo:
+      RollBackTo(part.sql_class.name, state);
+      return;
+    case SqlKind::kDiscard:
+      DiscardAll(state);
+      return;
+    default:
+      return;
+  }
+}
+
+void OnBatchEnd(char transaction_status, bool failed, SessionState* state) {
+  if (transaction_status != 'I') return;
+  if (failed) {
+    state->pending.clear();
+  } else {
+    CommitPending(state);
+  }
+}
+
+void OnBlockLost(SessionState* state) { state->pending.clear(); }
+
+void DiscardAll(SessionState* state) {
+  state->kept.clear();
+  state->pending.clear();
+  state->named.clear();
+  ++state->revision;
+}
+
+std::vector<std::string> Setup(const SessionState& state) {
+  std::vector<std::string> setup = state.base;
+  for (const SqlPart& part : state.kept) setup.push_back(part.text);
+  return setup;
+}
+
+const SqlPart* FindPrepared(const SessionState& state, std::string_view name) {
+  auto is_it = [&](const SqlPart& part) {
+    return IsPrepare(part) && part.sql_class.name == name;
+  };
+  for (const std::vector<SqlPart>* list : {&state.pending, &state.kept}) {
+    std::vector<SqlPart>::const_iterator found =
+        std::find_if(list->begin(), list->end(), is_it);
+    if (found != list->end()) return &*found;
+  }
+  return nullptr;
+}
+
+const NamedStatement* FindNamed(const SessionState& state,
+                                std::string_view name) {
+  for (const NamedStatement& statement : state.named) {
+    if (statement.name == name) return &statement;
+  }
+  return nullptr;
+}
+
+void KeepNamed(const NamedStatement& statement, SessionState* state) {
+  if (statement.name.empty()) return;
+  for (NamedStatement& existing : state->named) {
+    if (existing.name != statement.name) continue;
+    existing = statement;
+    return;
+  }
+  state->named.push_back(statement);
+}
+
+bool Deallocate(std::string_view name, SessionState* state) {
+  auto is_kept = [&](const SqlPart& part) {
+    return IsPrepare(part) && (name.empty() || part.sql_class.name == name);
+  };
+  auto is_named = [&](const NamedStatement& statement) {
+    return name.empty() || statement.name == name;
+  };
+  size_t dropped = std::erase_if(state->kept, is_kept) +
+                   std::erase_if(state->pending, is_kept) +
+                   std::erase_if(state->named, is_named);
+  ++state->revision;
+  return dropped > 0 || name.empty();
+}
+
+size_t StateBytes(const SessionState& state) {
+  size_t bytes = 0;
+  for (const std::string& sql : state.base) bytes += sql.size();
+  for (const SqlPart& part : state.kept) bytes += part.text.size();
+  for (const SqlPart& part : state.pending) bytes += part.text.size();
+  for (const NamedStatement& statement : state.named) {
+    bytes += statement.parse_message.size();
+  }
+  return bytes;
+}
+
+}  // namespace cardamomchute
