Classify SQL and keep session state for replay

A scanner that follows PostgreSQL's own cuts the text; what is not certainly a read counts as a write. SET and PREPARE are kept and sent along as setup, named protocol statements under names by content; cardamomchute.* settings, DEALLOCATE and DISCARD ALL are answered by the entry.

--- a/callers/src/batch_plan.cc
+++ b/callers/src/batch_plan.cc
@@ -1,13 +1,428 @@
 #include "batch_plan.h"
 
+#include <algorithm>
 #include <iterator>
+#include <utility>
+
+#include "content_hash.h"
+#include "session_reports.h"
 
 namespace cardamomchute {
+namespace {
+
+/// What a query text that is refused within a flushed batch becomes: the
+/// endpoint's syntax error fails the batch as a whole.
+constexpr std::string_view kFailingText = "cardamomchute: not supported";
+
+bool IsLocalKind(SqlKind kind, bool in_block) {
+  switch (kind) {
+    case SqlKind::kProductSet:
+    case SqlKind::kProductShow:
+    case SqlKind::kDeallocate:
+    case SqlKind::kEmpty:
+      return true;
+    case SqlKind::kDiscard:
+      return !in_block;
+    default:
+      return false;
+  }
+}
+
+bool ChangesState(SqlKind kind) {
+  return kind == SqlKind::kSet || kind == SqlKind::kPrepare;
+}
+
+/// Builds the plan of one batch, message by message.
+class Planner {
+ public:
+  explicit Planner(const PlanContext& context) : context_(context) {}
+
+  BatchPlan Plan(std::string_view bytes) {
+    plan_.bytes.reserve(bytes.size());
+    while (!plan_.refusal) {
+      Result<std::optional<pgwire::MessageView>> next =
+          pgwire::NextMessage(bytes);
+      if (next.has_error() || !next.value()) break;
+      bytes.remove_prefix(next.value()->whole.size());
+      Take(*next.value());
+    }
+    Conclude();
+    return std::move(plan_);
+  }
+
+ private:
+  void Take(const pgwire::MessageView& message) {
+    pgwire::BodyReader reader(message.body);
+    switch (message.type) {
+      case 'Q':
+        return Query(message, &reader);
+      case 'P':
+        return Parse(&reader);
+      case 'B':
+        return Bind(&reader);
+      case 'D':
+        return Describe(message, &reader);
+      case 'E':
+        return Execute(message, &reader);
+      case 'C':
+        return Close(message, &reader);
+      case 'F':
+        return Refuse(MakeReport("0A000", "function calls are not served",
+                                 "call the function in a SELECT"));
+      default:
+        plan_.bytes.append(message.whole);
+    }
+  }
+
+  void Query(const pgwire::MessageView& message, pgwire::BodyReader* reader) {
+    std::string_view sql = reader->CString();
+    if (!reader->ok()) return RefuseMalformed();
+    plan_.steps = ClassifyParts(sql);
+    for (const SqlPart& part : plan_.steps) Judge(part);
+    plan_.bytes.append(message.whole);
+  }
+
+  void Parse(pgwire::BodyReader* reader) {
+    NamedStatement statement;
+    statement.name = std::string(reader->CString());
+    std::string_view sql = reader->CString();
+    std::string_view types = reader->rest();
+    if (!reader->ok()) return RefuseMalformed();
+    if (Exists(statement.name)) {
+      return Refuse(MakeReport(
+          "42P05",
+          "prepared statement \"" + statement.name + "\" already exists",
+          "close it first or choose another name"));
+    }
+    statement.parts = ClassifyParts(sql);
+    for (const SqlPart& part : statement.parts) JudgeUnsupported(part);
+    if (plan_.refusal) return;
+    statement.shared_name =
+        SharedStatementName(std::string(sql) + '\0' + std::string(types));
+    statement.parse_message = ParseMessage(statement.shared_name, sql, types);
+    bool named = !statement.name.empty();
+    plan_.bytes +=
+        named ? statement.parse_message : ParseMessage("", sql, types);
+    if (named) JudgeStateSize(statement.parse_message.size());
+    std::erase(plan_.closed, statement.name);
+    plan_.parsed.push_back(std::move(statement));
+  }
+
+  static std::string ParseMessage(std::string_view name, std::string_view sql,
+                                  std::string_view types) {
+    return pgwire::Builder()
+        .Begin('P')
+        .CString(name)
+        .CString(sql)
+        .Bytes(types)
+        .End()
+        .Take();
+  }
+
+  void Bind(pgwire::BodyReader* reader) {
+    std::string_view portal = reader->CString();
+    std::string_view name = reader->CString();
+    if (!reader->ok()) return RefuseMalformed();
+    Found found = Find(name);
+    portals_.push_back({std::string(portal), PartsOf(name, found)});
+    Touch(portals_.back().parts);
+    plan_.bytes += pgwire::Builder()
+                       .Begin('B')
+                       .CString(portal)
+                       .CString(SharedName(name, found))
+                       .Bytes(reader->rest())
+                       .End()
+                       .Take();
+  }
+
+  void Describe(const pgwire::MessageView& message,
+                pgwire::BodyReader* reader) {
+    bool of_statement = reader->Byte() == 'S';
+    std::string_view name = reader->CString();
+    if (!reader->ok()) return RefuseMalformed();
+    if (!of_statement) {
+      Touch(PartsOfPortal(name));
+      plan_.bytes.append(message.whole);
+      return;
+    }
+    Found found = Find(name);
+    Touch(PartsOf(name, found));
+    AppendNamed('D', SharedName(name, found));
+  }
+
+  void Execute(const pgwire::MessageView& message, pgwire::BodyReader* reader) {
+    std::string_view portal = reader->CString();
+    if (!reader->ok()) return RefuseMalformed();
+    std::vector<SqlPart> parts = PartsOfPortal(portal);
+    if (parts.empty()) parts.push_back(EmptyPart());
+    for (const SqlPart& part : parts) {
+      plan_.steps.push_back(part);
+      Judge(part);
+    }
+    plan_.bytes.append(message.whole);
+  }
+
+  void Close(const pgwire::MessageView& message, pgwire::BodyReader* reader) {
+    bool of_statement = reader->Byte() == 'S';
+    std::string_view name = reader->CString();
+    if (!reader->ok()) return RefuseMalformed();
+    if (!of_statement) {
+      // Only a transaction's own connection has portals from before.
+      if (context_.in_block) Touch({SqlPart()});
+      plan_.bytes.append(message.whole);
+      return;
+    }
+    AppendNamed('C', SharedName(name, Find(name)));
+    plan_.closed.emplace_back(name);
+  }
+
+  void AppendNamed(char type, std::string_view name) {
+    plan_.bytes +=
+        pgwire::Builder().Begin(type).Byte('S').CString(name).End().Take();
+  }
+
+  void Refuse(pgwire::Report report) {
+    if (!plan_.refusal) plan_.refusal = std::move(report);
+  }
+
+  void RefuseMalformed() {
+    Refuse(MakeReport("08P01", "a message is cut short",
+                      "use a client of PostgreSQL protocol version 3"));
+  }
+
+  void JudgeUnsupported(const SqlPart& part) {
+    const SqlClass& sql = part.sql_class;
+    if (sql.kind != SqlKind::kUnsupported) return;
+    Refuse(MakeReport("0A000", sql.name + " is not supported", sql.value));
+  }
+
+  /// Looks at a statement that is to run.
+  void Judge(const SqlPart& part) {
+    JudgeUnsupported(part);
+    const SqlClass& sql = part.sql_class;
+    if (sql.kind == SqlKind::kDeclare && !context_.in_block && !Begins()) {
+      Refuse(MakeReport("25P01", "DECLARE CURSOR outside a transaction",
+                        "declare it after BEGIN"));
+    }
+    if (sql.kind == SqlKind::kCommit) plan_.commits = true;
+    if (ChangesState(sql.kind)) JudgeChange(part);
+    if (WritesNothing(part)) return;
+    plan_.writes_data = true;
+    if (context_.may_write) return;
+    Refuse(MakeReport("42501", "this caller may not write",
+                      "grant writes in the environment's document, or send "
+                      "statements that only read"));
+  }
+
+  void JudgeChange(const SqlPart& part) {
+    plan_.changes_state = true;
+    JudgeStateSize(part.text.size());
+  }
+
+  void JudgeStateSize(size_t more) {
+    if (StateBytes(*context_.session) + more <= kMaxSessionStateBytes) return;
+    Refuse(MakeReport("54000", "the session has set and prepared too much",
+                      "DEALLOCATE what is no longer needed"));
+  }
+
+  bool Begins() const {
+    return std::any_of(plan_.steps.begin(), plan_.steps.end(),
+                       [](const SqlPart& part) {
+                         return part.sql_class.kind == SqlKind::kBegin ||
+                                part.sql_class.kind == SqlKind::kReadBegin;
+                       });
+  }
+
+  bool WritesNothing(const SqlPart& part) const {
+    const SqlClass& sql = part.sql_class;
+    switch (sql.kind) {
+      case SqlKind::kWrite:
+      case SqlKind::kMulti:
+      case SqlKind::kDeclare:
+        return sql.read_only;
+      case SqlKind::kExecute:
+        return sql.read_only && PreparedReads(sql.name);
+      default:
+        return true;
+    }
+  }
+
+  bool PreparedReads(std::string_view name) const {
+    const SqlPart* prepared = FindPrepared(*context_.session, name);
+    return prepared != nullptr && prepared->sql_class.read_only;
+  }
+
+  /// Whether a replica may serve the statement.
+  bool IsRead(const SqlPart& part) const {
+    const SqlClass& sql = part.sql_class;
+    if (sql.kind == SqlKind::kExecute) return WritesNothing(part);
+    return sql.kind == SqlKind::kRead || sql.kind == SqlKind::kEmpty;
+  }
+
+  /// A statement of that name, and whether this batch parses it.
+  struct Found {
+    const NamedStatement* statement = nullptr;
+    bool in_batch = false;
+  };
+
+  Found Find(std::string_view name) {
+    const NamedStatement* parsed = FindParsed(name);
+    if (parsed != nullptr) return {parsed, true};
+    if (IsClosed(name)) return {};
+    const NamedStatement* kept = FindNamed(*context_.session, name);
+    if (kept != nullptr) Carry(kept->parse_message);
+    return {kept, false};
+  }
+
+  bool IsClosed(std::string_view name) const {
+    return std::find(plan_.closed.begin(), plan_.closed.end(), name) !=
+           plan_.closed.end();
+  }
+
+  const NamedStatement* FindParsed(std::string_view name) const {
+    const NamedStatement* found = FindInBatch(plan_, name);
+    bool look_earlier = found == nullptr && context_.earlier != nullptr;
+    return look_earlier ? FindInBatch(*context_.earlier, name) : found;
+  }
+
+  static const NamedStatement* FindInBatch(const BatchPlan& plan,
+                                           std::string_view name) {
+    std::vector<NamedStatement>::const_reverse_iterator found = std::find_if(
+        plan.parsed.rbegin(), plan.parsed.rend(),
+        [&](const NamedStatement& parsed) { return parsed.name == name; });
+    return found == plan.parsed.rend() ? nullptr : &*found;
+  }
+
+  bool Exists(const std::string& name) const {
+    if (name.empty() || IsClosed(name)) return false;
+    return FindParsed(name) != nullptr ||
+           FindNamed(*context_.session, name) != nullptr;
+  }
+
+  void Carry(const std::string& parse_message) {
+    bool carried = std::find(plan_.prepared.begin(), plan_.prepared.end(),
+                             parse_message) != plan_.prepared.end();
+    if (!carried) plan_.prepared.push_back(parse_message);
+  }
+
+  /// What connections call the statement. A name the session doesn't know
+  /// must not reach another session's statement.
+  static std::string SharedName(std::string_view name, const Found& found) {
+    if (found.in_batch && name.empty()) return "";
+    if (found.statement != nullptr) return found.statement->shared_name;
+    std::string unknown(name);
+    return unknown.starts_with("cc_") ? "unknown_" + unknown : unknown;
+  }
+
+  /// The SQL behind a statement name; a PREPARE counts as its EXECUTE.
+  std::vector<SqlPart> PartsOf(std::string_view name,
+                               const Found& found) const {
+    if (found.statement != nullptr) return found.statement->parts;
+    SqlPart part;
+    const SqlPart* prepared = FindPrepared(*context_.session, name);
+    if (prepared == nullptr) return {part};
+    part.sql_class.kind = SqlKind::kExecute;
+    part.sql_class.name = std::string(name);
+    part.sql_class.read_only = true;
+    return {part};
+  }
+
+  std::vector<SqlPart> PartsOfPortal(std::string_view portal) const {
+    for (size_t i = portals_.size(); i > 0; --i) {
+      if (portals_[i - 1].name == portal) return portals_[i - 1].parts;
+    }
+    return {SqlPart()};
+  }
+
+  static SqlPart EmptyPart() {
+    SqlPart part;
+    part.sql_class.kind = SqlKind::kEmpty;
+    return part;
+  }
+
+  /// Notes SQL that is parsed or described without being run.
+  void Touch(const std::vector<SqlPart>& parts) {
+    touched_.insert(touched_.end(), parts.begin(), parts.end());
+  }
+
+  void Conclude() {
+    if (plan_.refusal) return;
+    for (const NamedStatement& parsed : plan_.parsed) Touch(parsed.parts);
+    plan_.ends_block = plan_.steps.size() == 1 && IsEnd(plan_.steps.front());
+    plan_.local = AllOf([&](const SqlPart& part) {
+      return IsLocalKind(part.sql_class.kind, context_.in_block);
+    });
+    bool some_local = AnyOf([&](const SqlPart& part) {
+      return part.sql_class.kind == SqlKind::kProductSet ||
+             part.sql_class.kind == SqlKind::kProductShow ||
+             part.sql_class.kind == SqlKind::kDeallocate;
+    });
+    bool streamed = context_.earlier != nullptr;
+    if (some_local && (!plan_.local || streamed)) {
+      Refuse(MakeReport("0A000",
+                        "SET or SHOW of cardamomchute settings, or "
+                        "DEALLOCATE, together with other statements",
+                        "send it by itself"));
+      return;
+    }
+    plan_.kind = Kind();
+  }
+
+  StatementKind Kind() const {
+    if (context_.in_block || context_.earlier != nullptr) {
+      return StatementKind::kWrite;
+    }
+    bool reads = AllOf([this](const SqlPart& part) { return IsRead(part); });
+    if (reads) return StatementKind::kRead;
+    if (plan_.steps.size() != 1) return StatementKind::kWrite;
+    SqlKind only = plan_.steps.front().sql_class.kind;
+    if (only == SqlKind::kBegin) return StatementKind::kBegin;
+    if (only == SqlKind::kReadBegin) return StatementKind::kReadBegin;
+    return StatementKind::kWrite;
+  }
+
+  static bool IsEnd(const SqlPart& part) {
+    return part.sql_class.kind == SqlKind::kCommit ||
+           part.sql_class.kind == SqlKind::kRollback;
+  }
+
+  template <typename Predicate>
+  bool AllOf(Predicate holds) const {
+    return std::all_of(plan_.steps.begin(), plan_.steps.end(), holds) &&
+           std::all_of(touched_.begin(), touched_.end(), holds);
+  }
+
+  template <typename Predicate>
+  bool AnyOf(Predicate holds) const {
+    return std::any_of(plan_.steps.begin(), plan_.steps.end(), holds) ||
+           std::any_of(touched_.begin(), touched_.end(), holds);
+  }
+
+  struct Portal {
+    std::string name;
+    std::vector<SqlPart> parts;
+  };
+
+  const PlanContext& context_;
+  BatchPlan plan_;
+  std::vector<Portal> portals_;
+  std::vector<SqlPart> touched_;
+};
+
+}  // namespace
 
 BatchPlan PlanBatch(std::string_view bytes, const PlanContext& context) {
-  BatchPlan plan;
-  plan.bytes = std::string(bytes);
-  return plan;
+  return Planner(context).Plan(bytes);
+}
+
+std::string FailingParse() {
+  return pgwire::Builder()
+      .Begin('P')
+      .CString("")
+      .CString(kFailingText)
+      .Int16(0)
+      .End()
+      .Take();
 }
 
 void Append(BatchPlan next, BatchPlan* plan) {
--- a/callers/src/batch_plan.h
+++ b/callers/src/batch_plan.h
@@ -52,6 +52,9 @@
 /// Plans a batch, or the next part of one that is flushed piece by piece.
 BatchPlan PlanBatch(std::string_view bytes, const PlanContext& context);
 
+/// A message that fails a batch which is partly sent and must go no further.
+std::string FailingParse();
+
 /// Adds the plan of a batch's next part to that of the parts before.
 void Append(BatchPlan next, BatchPlan* plan);
 
--- a/callers/src/caller_session.cc
+++ b/callers/src/caller_session.cc
@@ -17,6 +17,8 @@
 constexpr size_t kMaxUnwrittenBytes = 2 * kChannelWindowBytes;
 /// Statements longer than this are not kept for a repeat.
 constexpr size_t kMaxRepeatableBytes = 256 * 1024;
+/// The longest unnamed statement that is kept beyond its batch.
+constexpr size_t kMaxUnnamedBytes = 16 * 1024;
 constexpr Duration kFirstBackoff = Millis(5);
 constexpr Duration kMaxBackoff = Millis(160);
 
@@ -90,6 +92,8 @@
   if (between_blocks && !RefreshGrant()) return;
   PlanContext context{&state_, owner_status_ != 'I', grant_.writes};
   BatchPlan plan = PlanBatch(batch.bytes, context);
+  // In a failed transaction the endpoint refuses these as it does all else.
+  if (owner_status_ == 'E' && !plan.steps.empty()) plan.local = false;
   if (block_lost_) return RefuseInLostBlock(batch, plan);
   if (plan.refusal) return Refuse(*plan.refusal);
   if (!plan.local) return Send(std::move(batch), std::move(plan));
@@ -165,7 +169,7 @@
       AnswerLocally(batch.bytes, plan, state_,
                     [this](const SqlPart& part) { return RunLocally(part); });
   if (!answer.failed) {
-    for (const NamedStatement& parsed : plan.parsed) KeepNamed(parsed, &state_);
+    for (const NamedStatement& parsed : plan.parsed) KeepParsed(parsed);
   }
   if (answer.failed && owner_status_ == 'T') LoseBlock(true);
   ForgetClosed(plan);
@@ -233,10 +237,11 @@
 }
 
 LocalResult CallerSession::RunDeallocate(const SqlClass& sql) {
-  if (Deallocate(sql.name, &state_)) {
-    return LocalResult{
-        {}, sql.name.empty() ? "DEALLOCATE ALL" : "DEALLOCATE", {}};
+  if (sql.name.empty()) {
+    DeallocateAll(&state_);
+    return LocalResult{{}, "DEALLOCATE ALL", {}};
   }
+  if (Deallocate(sql.name, &state_)) return LocalResult{{}, "DEALLOCATE", {}};
   return LocalResult{
       MakeReport("26000",
                  "prepared statement \"" + sql.name + "\" does not exist", ""),
@@ -244,8 +249,19 @@
       {}};
 }
 
+/// A long unnamed statement is not worth its memory: clients parse it anew.
+void CallerSession::KeepParsed(const NamedStatement& parsed) {
+  bool too_long =
+      parsed.name.empty() && parsed.parse_message.size() > kMaxUnnamedBytes;
+  if (too_long) {
+    CloseNamed("", &state_);
+  } else {
+    KeepNamed(parsed, &state_);
+  }
+}
+
 void CallerSession::ForgetClosed(const BatchPlan& plan) {
-  for (const std::string& name : plan.closed) Deallocate(name, &state_);
+  for (const std::string& name : plan.closed) CloseNamed(name, &state_);
 }
 
 Statement CallerSession::MakeStatement(const BatchPlan& plan) {
@@ -339,6 +355,12 @@
   PlanContext context{&state_, under_way_->in_block, grant_.writes};
   context.earlier = &under_way_->plan;
   BatchPlan plan = PlanBatch(batch.bytes, context);
+  if (plan.refusal) {
+    // The endpoint fails the batch as a whole and skips what follows.
+    plan.bytes += FailingParse();
+    plan.bytes +=
+        pgwire::Builder().Begin(batch.complete ? 'S' : 'H').End().Take();
+  }
   Append(std::move(plan), &under_way_->plan);
   under_way_->statement.complete = batch.complete;
   std::string bytes = std::exchange(under_way_->plan.bytes, std::string());
@@ -427,7 +449,7 @@
   UnderWay& now = *under_way_;
   bool failed = now.watcher.failed();
   if (event == AnswerEvent::kParsed && now.parsed < now.plan.parsed.size()) {
-    KeepNamed(now.plan.parsed[now.parsed++], &state_);
+    KeepParsed(now.plan.parsed[now.parsed++]);
   }
   bool step = event == AnswerEvent::kCompleted && !failed &&
               now.completed < now.plan.steps.size();
@@ -457,7 +479,7 @@
   parts_->counts->Count(ended->statement.rank, EntryEnding::kAnswered);
   owner_status_ = end.transaction_status;
   OnBatchEnd(owner_status_, failed, &state_);
-  ForgetClosed(ended->plan);
+  if (!failed) ForgetClosed(ended->plan);
   bool acknowledged =
       !failed && owner_status_ == 'I' &&
       (ended->in_block ? ended->plan.commits : ended->plan.writes_data);
--- a/callers/src/caller_session.h
+++ b/callers/src/caller_session.h
@@ -102,6 +102,7 @@
   LocalResult RunProductSet(const SqlClass& sql);
   LocalResult RunProductShow(const SqlClass& sql);
   LocalResult RunDeallocate(const SqlClass& sql);
+  void KeepParsed(const NamedStatement& parsed);
   void ForgetClosed(const BatchPlan& plan);
 
   // Towards the owner.
--- a/policy/include/cardamomchute/policy/classify.h
+++ b/policy/include/cardamomchute/policy/classify.h
@@ -39,11 +39,12 @@
   /// kDeallocate: the statement's name ("" for all); kSavepoint, kRollbackTo:
   /// the savepoint; kUnsupported: what is not supported.
   std::string name;
-  /// kSet and kProductSet: the value's text without quotes, empty for RESET
-  /// and DEFAULT. kUnsupported: what to do instead.
+  /// kSet and kProductSet: the value's text, empty for RESET and DEFAULT.
+  /// kProductSet: without quotes. kUnsupported: what to do instead.
   std::string value;
-  /// kPrepare: what it prepares is certainly a read. kExecute: its arguments
-  /// call nothing that may write.
+  /// It writes nothing, though it may need the primary, the transaction's own
+  /// connection or an expensive look: SHOW of any setting, FETCH, RELEASE.
+  /// kPrepare: so it is with what it prepares. kExecute: with its arguments.
   bool read_only = false;
 };
 
--- a/policy/include/cardamomchute/policy/session_state.h
+++ b/policy/include/cardamomchute/policy/session_state.h
@@ -13,7 +13,7 @@
 namespace cardamomchute {
 
 /// The most session state that is kept; what would exceed it is refused.
-inline constexpr size_t kMaxSessionStateBytes = 256 * 1024;
+inline constexpr size_t kMaxSessionStateBytes = 1024 * 1024;
 
 /// A statement the caller prepared by a protocol message.
 struct NamedStatement {
@@ -60,13 +60,18 @@
 const NamedStatement* FindNamed(const SessionState& state,
                                 std::string_view name);
 
-/// Adds or replaces a named statement; the unnamed one is not kept.
+/// Adds or replaces a named statement; the unnamed one has an empty name.
 void KeepNamed(const NamedStatement& statement, SessionState* state);
 
-/// Forgets a statement prepared either way, or all for an empty name; false
-/// when there is none of that name.
+/// Forgets a statement prepared either way, if there is one of that name.
+void CloseNamed(std::string_view name, SessionState* state);
+
+/// The same; false when there was none of that name.
 bool Deallocate(std::string_view name, SessionState* state);
 
+/// Forgets all statements prepared either way.
+void DeallocateAll(SessionState* state);
+
 /// Bytes of all that is kept.
 size_t StateBytes(const SessionState& state);
 
--- a/policy/src/session_state.cc
+++ b/policy/src/session_state.cc
@@ -11,6 +11,12 @@
   return part.sql_class.kind == SqlKind::kPrepare;
 }
 
+/// Whether setting or resetting `later` leaves nothing of `earlier`.
+bool Replaces(const std::string& later, const std::string& earlier) {
+  bool spared = earlier == "role" || earlier == "session_authorization";
+  return later == earlier || (later == "all" && !spared);
+}
+
 /// Drops settings that a later one of the same name (or RESET ALL) replaces.
 /// What was set before a PREPARE stays: the PREPARE was read under it.
 void DropReplaced(const std::string& name, std::vector<SqlPart>* kept) {
@@ -20,8 +26,7 @@
   }
   kept->erase(std::remove_if(after_prepare, kept->end(),
                              [&](const SqlPart& part) {
-                               return name == "all" ||
-                                      part.sql_class.name == name;
+                               return Replaces(name, part.sql_class.name);
                              }),
               kept->end());
 }
@@ -132,7 +137,6 @@
 }
 
 void KeepNamed(const NamedStatement& statement, SessionState* state) {
-  if (statement.name.empty()) return;
   for (NamedStatement& existing : state->named) {
     if (existing.name != statement.name) continue;
     existing = statement;
@@ -141,18 +145,30 @@
   state->named.push_back(statement);
 }
 
-bool Deallocate(std::string_view name, SessionState* state) {
-  auto is_kept = [&](const SqlPart& part) {
-    return IsPrepare(part) && (name.empty() || part.sql_class.name == name);
-  };
-  auto is_named = [&](const NamedStatement& statement) {
-    return name.empty() || statement.name == name;
+void CloseNamed(std::string_view name, SessionState* state) {
+  std::erase_if(state->named, [&](const NamedStatement& statement) {
+    return statement.name == name;
+  });
+  auto is_it = [&](const SqlPart& part) {
+    return IsPrepare(part) && part.sql_class.name == name;
   };
-  size_t dropped = std::erase_if(state->kept, is_kept) +
-                   std::erase_if(state->pending, is_kept) +
-                   std::erase_if(state->named, is_named);
+  size_t dropped =
+      std::erase_if(state->kept, is_it) + std::erase_if(state->pending, is_it);
+  if (dropped > 0) ++state->revision;
+}
+
+bool Deallocate(std::string_view name, SessionState* state) {
+  bool known = FindNamed(*state, name) != nullptr ||
+               FindPrepared(*state, name) != nullptr;
+  if (known) CloseNamed(name, state);
+  return known;
+}
+
+void DeallocateAll(SessionState* state) {
+  state->named.clear();
+  std::erase_if(state->kept, IsPrepare);
+  std::erase_if(state->pending, IsPrepare);
   ++state->revision;
-  return dropped > 0 || name.empty();
 }
 
 size_t StateBytes(const SessionState& state) {
