--- a/callers/test/fake_owner.h
+++ b/callers/test/fake_owner.h
@@ -299,7 +299,7 @@
       case 'P': {
         std::string name(reader.CString());
         std::string sql(reader.CString());
-        if (sql.starts_with("fail")) {
+        if (sql.starts_with("fail") || sql.starts_with("cardamomchute:")) {
           channel->failed = true;
           return Error("42601", "syntax error in " + sql);
         }
