--- a/callers/include/cardamomchute/callers/caller_server.h
+++ b/callers/include/cardamomchute/callers/caller_server.h
@@ -29,6 +29,7 @@
   Metrics* metrics = nullptr;
 };
 
+/// Outlived by the contexts of its threads.
 class CallerServer {
  public:
   explicit CallerServer(CallerServerParts parts);
--- a/callers/src/caller_server.cc
+++ b/callers/src/caller_server.cc
@@ -64,7 +64,7 @@
     });
   }
 
-  /// Closes everything; the connections' threads still run, or never will.
+  /// Closes everything. The threads' contexts still exist, run or stopped.
   void Stop() {
     server_->draining = true;
     asio::dispatch(*parts_.threads.front(), [self = shared_from_this()] {
@@ -163,15 +163,21 @@
         });
   }
 
-  void ForEachConnection(std::function<void(CallerConnection*)> action) {
+  /// Runs on each connection's own thread; here, when that has stopped.
+  void ForEachConnection(const std::function<void(CallerConnection*)>& action) {
     for (const std::shared_ptr<ThreadState>& thread : threads_) {
-      asio::post(*thread->io, [thread, action] {
+      auto act = [thread, action] {
         std::vector<std::shared_ptr<CallerConnection>> all(
             thread->connections.begin(), thread->connections.end());
         for (const std::shared_ptr<CallerConnection>& one : all) {
           action(one.get());
         }
-      });
+      };
+      if (thread->io->stopped()) {
+        act();
+      } else {
+        asio::post(*thread->io, act);
+      }
     }
   }
 
--- a/callers/src/caller_session.cc
+++ b/callers/src/caller_session.cc
@@ -78,7 +78,10 @@
   pumping_ = true;
   while (CanStart()) Start(TakeBatch(&queue_));
   pumping_ = false;
-  bool done = under_way_ == nullptr && !HasReadyBatch(queue_);
+  // What waits for a Sync that will not come is over as well.
+  bool nothing_runs =
+      under_way_ == nullptr || !under_way_->statement.complete;
+  bool done = nothing_runs && !HasReadyBatch(queue_);
   if (terminating_ && done && !closed_) {
     Close();
     links_.finish();
