--- a/base/include/cardamomchute/base/ids.h
+++ b/base/include/cardamomchute/base/ids.h
@@ -87,7 +87,7 @@
   friend auto operator<=>(const Address&, const Address&) = default;
 };
 
-/// "host:port", as in settings and log lines.
+/// "host:port" or "[v6]:port", as in settings and log lines.
 std::string ToString(const Address& address);
 
 /// "term/position" in decimal, as callers see and hand over their floor.
--- a/base/include/cardamomchute/base/settings.h
+++ b/base/include/cardamomchute/base/settings.h
@@ -8,7 +8,9 @@
 ///     peers = "127.0.0.1:7001"
 ///     http = "127.0.0.1:8001"
 ///     [control]
-///     seeds = ["127.0.0.1:7501", "127.0.0.1:7502", "127.0.0.1:7503"]
+///     seeds = [{ id = "control-1", address = "127.0.0.1:7501" },
+///              { id = "control-2", address = "127.0.0.1:7502" },
+///              { id = "control-3", address = "127.0.0.1:7503" }]
 #ifndef CARDAMOMCHUTE_BASE_SETTINGS_H_
 #define CARDAMOMCHUTE_BASE_SETTINGS_H_
 
@@ -17,6 +19,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cardamomchute/base/fault.h"
 #include "cardamomchute/base/ids.h"
 #include "cardamomchute/base/time.h"
 
@@ -51,17 +54,6 @@
   Duration drain_timeout = Seconds(20);
 };
 
-/// One fault of a file: where, what, and what to write instead.
-struct Fault {
-  std::string key;
-  uint32_t line = 0;  ///< from 1; 0 when the key is missing
-  std::string what;
-  std::string remedy;
-};
-
-/// "line 4: listen.callers: not an address; write \"IP:port\""
-std::string ToString(const Fault& fault);
-
 /// Settings, or every fault there is in them.
 struct SettingsOutcome {
   std::optional<Settings> settings;
--- a/base/src/ids.cc
+++ b/base/src/ids.cc
@@ -3,7 +3,9 @@
 namespace cardamomchute {
 
 std::string ToString(const Address& address) {
-  return address.host + ":" + std::to_string(address.port);
+  bool is_v6 = address.host.find(':') != std::string::npos;
+  std::string host = is_v6 ? "[" + address.host + "]" : address.host;
+  return host + ":" + std::to_string(address.port);
 }
 
 std::string ToString(const Floor& floor) {
