--- a/base/src/settings.cc
+++ b/base/src/settings.cc
@@ -30,9 +30,8 @@
 
 std::string ReadLogLevel(TableReader* reader) {
   std::string level = reader->TextOr("log_level", "info");
-  static const std::set<std::string> kLevels = {"debug", "info", "warn",
-                                                "error"};
-  if (!kLevels.contains(level)) {
+  const std::set<std::string> levels = {"debug", "info", "warn", "error"};
+  if (!levels.contains(level)) {
     reader->AddFault("log_level", "\"" + level + "\" is no level",
                      "write \"debug\", \"info\", \"warn\" or \"error\"");
   }
