--- /dev/null
+++ b/peers/src/log_store.cc
@@ -0,0 +1,282 @@
+#include "cardamomchute/peers/log_store.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "record.h"
+
+namespace cardamomchute {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr char kLockFile[] = "lock";
+constexpr char kIdentityFile[] = "identity";
+constexpr char kVoteFile[] = "vote";
+constexpr char kSnapshotFile[] = "snapshot";
+constexpr char kLogFile[] = "log";
+constexpr int kFileMode = 0640;
+
+struct Identity {
+  VmId vm;
+  std::string incarnation;
+  MSGPACK_DEFINE(vm, incarnation)
+};
+
+std::string NewIncarnation() {
+  std::random_device device;
+  std::ostringstream text;
+  text << std::hex << device() << device();
+  return text.str();
+}
+
+bool WriteAll(int fd, std::string_view bytes) {
+  while (!bytes.empty()) {
+    ssize_t count = ::write(fd, bytes.data(), bytes.size());
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) return false;
+    bytes.remove_prefix(static_cast<size_t>(count));
+  }
+  return true;
+}
+
+bool SyncFolder(const fs::path& folder) {
+  int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0) return false;
+  bool synced = ::fsync(fd) == 0;
+  ::close(fd);
+  return synced;
+}
+
+bool WriteSynced(const fs::path& path, std::string_view bytes) {
+  int fd =
+      ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+  if (fd < 0) return false;
+  bool synced = WriteAll(fd, bytes) && ::fsync(fd) == 0;
+  ::close(fd);
+  return synced;
+}
+
+/// Nothing if the file cannot be read.
+std::optional<std::string> ReadAll(const fs::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return std::nullopt;
+  std::ostringstream text;
+  text << in.rdbuf();
+  return std::move(text).str();
+}
+
+MemberId MakeMemberId(const Identity& identity) {
+  return MemberId(identity.vm.value() + "#" + identity.incarnation);
+}
+
+}  // namespace
+
+LogStore::LogStore(fs::path folder, int lock_fd)
+    : folder_(std::move(folder)), lock_fd_(lock_fd) {}
+
+LogStore::~LogStore() {
+  if (log_fd_ >= 0) ::close(log_fd_);
+  ::close(lock_fd_);
+}
+
+Error LogStore::Io(const std::string& what) const {
+  return Error{ErrorKind::kIo,
+               what + " in " + folder_.string() + ": " + std::strerror(errno),
+               "check the data folder's disk, space and rights; the member "
+               "must restart"};
+}
+
+Error LogStore::Corrupt(const std::string& file, uint64_t offset) const {
+  return Error{ErrorKind::kCorrupt,
+               (folder_ / file).string() + " is corrupt at byte " +
+                   std::to_string(offset),
+               "replace this member: move its data folder away and start it "
+               "with an empty one; it votes again once it has caught up"};
+}
+
+Result<std::unique_ptr<LogStore>> LogStore::Open(fs::path folder,
+                                                 const VmId& vm) {
+  std::error_code ignored;
+  fs::create_directories(folder, ignored);
+  int lock_fd = ::open((folder / kLockFile).c_str(),
+                       O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+  if (lock_fd < 0) {
+    return Error{ErrorKind::kIo,
+                 "cannot open the data folder " + folder.string() + ": " +
+                     std::strerror(errno),
+                 "create it and give the daemon's user the right to write"};
+  }
+  if (::flock(lock_fd, LOCK_EX | LOCK_NB) != 0) {
+    ::close(lock_fd);
+    return Error{ErrorKind::kUnavailable,
+                 "another process holds the data folder " + folder.string(),
+                 "stop that process, or set another member.data_folder"};
+  }
+  std::unique_ptr<LogStore> store(new LogStore(std::move(folder), lock_fd));
+  BOOST_OUTCOME_TRY(store->Load(vm));
+  return store;
+}
+
+Status LogStore::Load(const VmId& vm) {
+  if (!fs::exists(folder_ / kIdentityFile)) {
+    BOOST_OUTCOME_TRY(Create(vm));
+  }
+  BOOST_OUTCOME_TRY(bytes, ReadFile(kIdentityFile));
+  BOOST_OUTCOME_TRY(identity, Unpack<Identity>(bytes));
+  if (identity.vm != vm) {
+    return Error{ErrorKind::kInvalidInput,
+                 folder_.string() + " belongs to member " +
+                     identity.vm.value() + ", not to " + vm.value(),
+                 "set member.data_folder to this VM's own folder"};
+  }
+  self_ = MakeMemberId(identity);
+  BOOST_OUTCOME_TRY(vote, ReadFile(kVoteFile));
+  BOOST_OUTCOME_TRY(unpacked_vote, Unpack<TermAndVote>(vote));
+  stored_.vote = unpacked_vote;
+  if (fs::exists(folder_ / kSnapshotFile)) {
+    BOOST_OUTCOME_TRY(snapshot, ReadFile(kSnapshotFile));
+    BOOST_OUTCOME_TRY(unpacked_snapshot, Unpack<QuorumSnapshot>(snapshot));
+    stored_.snapshot = std::move(unpacked_snapshot);
+  }
+  BOOST_OUTCOME_TRY(LoadLog());
+  BOOST_OUTCOME_TRY(DropCovered());
+  return OpenLog();
+}
+
+Status LogStore::Create(const VmId& vm) {
+  // The identity comes last: without it nothing else in the folder counts.
+  bool leftover = fs::exists(folder_ / kSnapshotFile);
+  std::error_code ignored;
+  if (fs::exists(folder_ / kLogFile) &&
+      fs::file_size(folder_ / kLogFile, ignored) > 0) {
+    leftover = true;
+  }
+  if (leftover) return Corrupt(kIdentityFile, 0);
+  BOOST_OUTCOME_TRY(ReplaceFile(kVoteFile, Pack(TermAndVote())));
+  if (!WriteSynced(folder_ / kLogFile, "")) return Io("create log");
+  return ReplaceFile(kIdentityFile, Pack(Identity{vm, NewIncarnation()}));
+}
+
+Result<std::string> LogStore::ReadFile(const std::string& name) const {
+  std::optional<std::string> bytes = ReadAll(folder_ / name);
+  if (!bytes) return Corrupt(name, 0);
+  std::optional<std::string_view> payload = DecodeRecord(*bytes);
+  if (!payload) return Corrupt(name, 0);
+  return std::string(*payload);
+}
+
+Status LogStore::ReplaceFile(const std::string& name,
+                             std::string_view payload) {
+  if (failed_) return Io("write after a failure");
+  fs::path temporary = folder_ / (name + ".tmp");
+  std::error_code error;
+  failed_ = true;
+  if (!WriteSynced(temporary, EncodeRecord(payload))) {
+    return Io("write " + name);
+  }
+  fs::rename(temporary, folder_ / name, error);
+  if (error) return Io("rename " + name);
+  if (!SyncFolder(folder_)) return Io("sync folder");
+  failed_ = false;
+  return Ok();
+}
+
+Status LogStore::LoadLog() {
+  std::optional<std::string> bytes = ReadAll(folder_ / kLogFile);
+  if (!bytes) return Corrupt(kLogFile, 0);
+  std::string_view rest(*bytes);
+  uint64_t offset = 0;
+  while (!rest.empty()) {
+    std::optional<std::string_view> payload = DecodeRecord(rest);
+    if (!payload) break;
+    BOOST_OUTCOME_TRY(TakeRecord(*payload, offset));
+    offset += kRecordHeaderBytes + payload->size();
+    rest.remove_prefix(kRecordHeaderBytes + payload->size());
+  }
+  // A record is written only after the one before it was synced, so what
+  // precedes a whole record cannot be a torn write.
+  if (!rest.empty() && FindRecord(rest, 0)) return Corrupt(kLogFile, offset);
+  log_bytes_ = offset;
+  return Ok();
+}
+
+Status LogStore::TakeRecord(std::string_view payload, uint64_t offset) {
+  Result<std::vector<LogEntry>> entries =
+      Unpack<std::vector<LogEntry>>(payload);
+  if (!entries) return Corrupt(kLogFile, offset);
+  std::vector<LogEntry>& log = stored_.entries;
+  for (LogEntry& entry : entries.value()) {
+    while (!log.empty() && log.back().index >= entry.index) log.pop_back();
+    bool gap = !log.empty() && log.back().index.Next() != entry.index;
+    if (gap) return Corrupt(kLogFile, offset);
+    log.push_back(std::move(entry));
+  }
+  return Ok();
+}
+
+/// Drops the entries that the snapshot stands for.
+Status LogStore::DropCovered() {
+  const QuorumSnapshot& snapshot = stored_.snapshot;
+  std::vector<LogEntry>& log = stored_.entries;
+  bool conflict = false;
+  auto keep = log.begin();
+  for (; keep != log.end() && keep->index <= snapshot.last_index; ++keep) {
+    conflict =
+        keep->index == snapshot.last_index && keep->term != snapshot.last_term;
+  }
+  log.erase(log.begin(), keep);
+  bool snapshot_lost =
+      log_bytes_ > 0 && log.empty() && snapshot.last_index == LogIndex();
+  if (snapshot_lost) return Corrupt(kSnapshotFile, 0);
+  if (conflict) log.clear();
+  bool gap = !log.empty() && log.front().index != snapshot.last_index.Next();
+  if (gap) return Corrupt(kLogFile, 0);
+  return Ok();
+}
+
+Status LogStore::OpenLog() {
+  if (log_fd_ >= 0) ::close(log_fd_);
+  log_fd_ =
+      ::open((folder_ / kLogFile).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (log_fd_ < 0) return Io("open log");
+  if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0) {
+    return Io("cut log");
+  }
+  if (::fsync(log_fd_) != 0) return Io("sync log");
+  return Ok();
+}
+
+Status LogStore::SaveVote(const TermAndVote& vote) {
+  return ReplaceFile(kVoteFile, Pack(vote));
+}
+
+Status LogStore::Append(const std::vector<LogEntry>& entries) {
+  if (entries.empty()) return Ok();
+  if (failed_) return Io("append after a failure");
+  failed_ = true;
+  std::string record = EncodeRecord(Pack(entries));
+  if (!WriteAll(log_fd_, record)) return Io("append to log");
+  if (::fdatasync(log_fd_) != 0) return Io("sync log");
+  failed_ = false;
+  log_bytes_ += record.size();
+  return Ok();
+}
+
+Status LogStore::SaveSnapshot(const QuorumSnapshot& snapshot,
+                              const std::vector<LogEntry>& kept) {
+  BOOST_OUTCOME_TRY(ReplaceFile(kSnapshotFile, Pack(snapshot)));
+  std::string payload = Pack(kept);
+  BOOST_OUTCOME_TRY(ReplaceFile(kLogFile, payload));
+  log_bytes_ = kRecordHeaderBytes + payload.size();
+  return OpenLog();
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/policy/src/quorum.cc
@@ -0,0 +1,579 @@
+#include "cardamomchute/policy/quorum.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomchute {
+namespace {
+
+uint64_t NextRandom(QuorumState& state) {
+  state.random ^= state.random << 13;
+  state.random ^= state.random >> 7;
+  state.random ^= state.random << 17;
+  return state.random;
+}
+
+void ResetElection(QuorumState& state, Time now) {
+  int64_t span =
+      (state.timing.election_max - state.timing.election_min).ms() + 1;
+  int64_t extra =
+      static_cast<int64_t>(NextRandom(state) % static_cast<uint64_t>(span));
+  state.election_due = now + state.timing.election_min + Millis(extra);
+}
+
+QuorumTerm LastTerm(const QuorumState& state) {
+  return state.log.empty() ? state.snapshot.last_term : state.log.back().term;
+}
+
+LogIndex Before(LogIndex index) {
+  return LogIndex(index.value() == 0 ? 0 : index.value() - 1);
+}
+
+/// Entries of `log` after `index`.
+size_t OffsetAfter(const QuorumState& state, LogIndex index) {
+  return index.value() - state.snapshot.last_index.value();
+}
+
+void FindConfig(QuorumState& state) {
+  for (auto it = state.log.rbegin(); it != state.log.rend(); ++it) {
+    if (it->kind != EntryKind::kConfig) continue;
+    state.config = it->config;
+    state.config_index = it->index;
+    return;
+  }
+  state.config = state.snapshot.config;
+  state.config_index = state.snapshot.last_index;
+}
+
+void Send(QuorumState& state, const MemberId& to,
+          decltype(QuorumMessage::body) body) {
+  state.output.messages.push_back(
+      QuorumMessage{state.self, to, state.vote.term, std::move(body)});
+}
+
+void BecomeFollower(QuorumState& state, QuorumTerm term, Time now) {
+  bool newer = term > state.vote.term;
+  if (newer) {
+    state.vote = TermAndVote{term, MemberId()};
+    state.output.save_vote = true;
+  }
+  bool led = state.role == QuorumRole::kLeader;
+  if (newer || led) state.leader = MemberId();
+  if (state.role != QuorumRole::kFollower) ResetElection(state, now);
+  state.role = QuorumRole::kFollower;
+  state.votes.clear();
+  state.progress.clear();
+}
+
+void Append(QuorumState& state, LogEntry entry) {
+  state.output.append.push_back(entry);
+  if (entry.kind == EntryKind::kConfig) {
+    state.config = entry.config;
+    state.config_index = entry.index;
+  }
+  state.log.push_back(std::move(entry));
+}
+
+LogIndex AppendOwn(QuorumState& state, EntryKind kind, std::string command,
+                   QuorumConfig config) {
+  LogIndex index = LastIndex(state).Next();
+  Append(state, LogEntry{index, state.vote.term, kind, std::move(command),
+                         std::move(config)});
+  state.append_due = true;
+  return index;
+}
+
+/// Creates progress for new members and drops that of removed ones.
+void SyncProgress(QuorumState& state, Time now) {
+  for (const auto& [id, member] : state.config.members) {
+    if (id == state.self || state.progress.contains(id)) continue;
+    MemberProgress fresh;
+    fresh.next = LastIndex(state).Next();
+    fresh.last_answer = now;
+    state.progress.emplace(id, fresh);
+  }
+  std::erase_if(state.progress, [&state](const auto& item) {
+    return !state.config.members.contains(item.first);
+  });
+}
+
+void BecomeLeader(QuorumState& state, Time now) {
+  state.role = QuorumRole::kLeader;
+  state.leader = state.self;
+  state.votes.clear();
+  state.progress.clear();
+  state.heartbeat_due = now;
+  state.confirmed = state.round;
+  state.round = state.round.Next();
+  SyncProgress(state, now);
+  AppendOwn(state, EntryKind::kNoop, "", QuorumConfig());
+}
+
+bool IsQuorum(const QuorumState& state, size_t count) {
+  return count * 2 > VoterCount(state.config);
+}
+
+void SolicitVotes(QuorumState& state, bool pre) {
+  VoteRequest request{pre, LastIndex(state), LastTerm(state)};
+  QuorumTerm term = pre ? state.vote.term.Next() : state.vote.term;
+  for (const auto& [id, member] : state.config.members) {
+    if (id == state.self || !member.voter) continue;
+    state.output.messages.push_back(
+        QuorumMessage{state.self, id, term, request});
+  }
+}
+
+void StandForElection(QuorumState& state, Time now) {
+  state.role = QuorumRole::kCandidate;
+  state.leader = MemberId();
+  state.vote = TermAndVote{state.vote.term.Next(), state.self};
+  state.output.save_vote = true;
+  state.votes = {state.self};
+  ResetElection(state, now);
+  if (IsQuorum(state, state.votes.size())) return BecomeLeader(state, now);
+  SolicitVotes(state, false);
+}
+
+void StartPreVote(QuorumState& state, Time now) {
+  ResetElection(state, now);
+  if (!IsVoter(state.config, state.self)) return;
+  state.role = QuorumRole::kPreCandidate;
+  state.leader = MemberId();
+  state.votes = {state.self};
+  if (IsQuorum(state, state.votes.size())) return StandForElection(state, now);
+  SolicitVotes(state, true);
+}
+
+bool UpToDate(const QuorumState& state, const VoteRequest& request) {
+  if (request.last_term != LastTerm(state)) {
+    return request.last_term > LastTerm(state);
+  }
+  return request.last_index >= LastIndex(state);
+}
+
+bool HearsLeader(const QuorumState& state, Time now) {
+  if (state.role == QuorumRole::kLeader) return true;
+  if (!state.leader_heard || state.leader.empty()) return false;
+  return now - *state.leader_heard < state.timing.election_min;
+}
+
+void OnPreVoteRequest(QuorumState& state, const QuorumMessage& message,
+                      const VoteRequest& request, Time now) {
+  bool granted = message.term > state.vote.term && UpToDate(state, request) &&
+                 !HearsLeader(state, now);
+  Send(state, message.from, VoteAnswer{true, granted});
+}
+
+void OnVoteRequest(QuorumState& state, const QuorumMessage& message,
+                   const VoteRequest& request, Time now) {
+  bool free =
+      state.vote.voted_for.empty() || state.vote.voted_for == message.from;
+  bool granted =
+      message.term == state.vote.term && free && UpToDate(state, request);
+  if (granted && state.vote.voted_for.empty()) {
+    state.vote.voted_for = message.from;
+    state.output.save_vote = true;
+  }
+  if (granted) ResetElection(state, now);
+  Send(state, message.from, VoteAnswer{false, granted});
+}
+
+void OnVoteAnswer(QuorumState& state, const QuorumMessage& message,
+                  const VoteAnswer& answer, Time now) {
+  QuorumRole expected =
+      answer.pre ? QuorumRole::kPreCandidate : QuorumRole::kCandidate;
+  if (state.role != expected || !answer.granted) return;
+  if (!answer.pre && message.term != state.vote.term) return;
+  if (!IsVoter(state.config, message.from)) return;
+  state.votes.insert(message.from);
+  if (!IsQuorum(state, state.votes.size())) return;
+  if (answer.pre) return StandForElection(state, now);
+  BecomeLeader(state, now);
+}
+
+void CommitTo(QuorumState& state, LogIndex index) {
+  if (index <= state.commit) return;
+  state.commit = index;
+  while (state.applied < state.commit) {
+    size_t offset = OffsetAfter(state, state.applied);
+    state.output.apply.push_back(state.log[offset]);
+    state.applied = state.applied.Next();
+  }
+}
+
+/// The highest value that a quorum of voters has reached.
+template <typename Value, typename Get>
+Value QuorumValue(const QuorumState& state, Value own, Get get) {
+  std::vector<Value> values;
+  for (const auto& [id, member] : state.config.members) {
+    if (!member.voter) continue;
+    if (id == state.self) {
+      values.push_back(own);
+      continue;
+    }
+    auto it = state.progress.find(id);
+    values.push_back(it == state.progress.end() ? Value() : get(it->second));
+  }
+  if (values.empty()) return Value();
+  std::sort(values.rbegin(), values.rend());
+  return values[values.size() / 2];
+}
+
+void AdvanceRound(QuorumState& state) {
+  if (TermAt(state, state.commit) != state.vote.term) return;
+  Round reached = QuorumValue<Round>(
+      state, state.round, [](const MemberProgress& p) { return p.acked; });
+  if (reached <= state.confirmed) return;
+  state.confirmed = reached;
+  state.output.confirmed = reached;
+}
+
+void AdvanceCommit(QuorumState& state, Time now) {
+  LogIndex reached = QuorumValue<LogIndex>(
+      state, state.persisted, [](const MemberProgress& p) { return p.match; });
+  if (reached <= state.commit) return;
+  // Only entries of the leader's own term commit by counting.
+  if (TermAt(state, reached) != state.vote.term) return;
+  CommitTo(state, reached);
+  state.append_due = true;
+  AdvanceRound(state);
+  bool removed = state.config_index <= state.commit &&
+                 !state.config.members.contains(state.self);
+  if (removed) BecomeFollower(state, state.vote.term, now);
+}
+
+/// Where a leader may look for agreement after `index` did not match.
+LogIndex AgreementHint(const QuorumState& state, LogIndex index) {
+  if (index > LastIndex(state)) return LastIndex(state);
+  std::optional<QuorumTerm> conflicting = TermAt(state, index);
+  LogIndex at = Before(index);
+  while (at > state.commit && TermAt(state, at) == conflicting) {
+    at = Before(at);
+  }
+  return at;
+}
+
+void TruncateAfter(QuorumState& state, LogIndex index) {
+  state.log.resize(OffsetAfter(state, index));
+  state.persisted = std::min(state.persisted, index);
+  if (state.config_index > index) FindConfig(state);
+}
+
+void TakeEntry(QuorumState& state, const LogEntry& entry) {
+  if (entry.index <= state.snapshot.last_index) return;
+  if (TermAt(state, entry.index) == entry.term) return;
+  if (entry.index <= LastIndex(state)) {
+    TruncateAfter(state, Before(entry.index));
+  }
+  Append(state, entry);
+}
+
+void FollowLeader(QuorumState& state, const QuorumMessage& message, Time now) {
+  BecomeFollower(state, message.term, now);
+  state.leader = message.from;
+  state.leader_heard = now;
+  ResetElection(state, now);
+}
+
+void OnAppendRequest(QuorumState& state, const QuorumMessage& message,
+                     const AppendRequest& request, Time now) {
+  if (message.term < state.vote.term) {
+    return Send(state, message.from,
+                AppendAnswer{false, LogIndex(), request.round});
+  }
+  FollowLeader(state, message, now);
+  bool known = request.previous_index <= state.snapshot.last_index ||
+               TermAt(state, request.previous_index) == request.previous_term;
+  if (!known) {
+    LogIndex hint = AgreementHint(state, request.previous_index);
+    return Send(state, message.from, AppendAnswer{false, hint, request.round});
+  }
+  for (const LogEntry& entry : request.entries) TakeEntry(state, entry);
+  LogIndex match(request.previous_index.value() + request.entries.size());
+  CommitTo(state, std::min(request.commit, match));
+  Send(state, message.from, AppendAnswer{true, match, request.round});
+}
+
+void InstallSnapshot(QuorumState& state, const QuorumSnapshot& snapshot) {
+  bool keep_tail = TermAt(state, snapshot.last_index) == snapshot.last_term;
+  std::vector<LogEntry> tail;
+  if (keep_tail) {
+    size_t offset = OffsetAfter(state, snapshot.last_index);
+    tail.assign(state.log.begin() + static_cast<ptrdiff_t>(offset),
+                state.log.end());
+  }
+  state.snapshot = snapshot;
+  state.log = std::move(tail);
+  state.commit = snapshot.last_index;
+  state.applied = snapshot.last_index;
+  state.persisted = snapshot.last_index;
+  FindConfig(state);
+  state.output.install = snapshot;
+  state.output.append = state.log;
+  state.output.apply.clear();
+}
+
+void OnSnapshotRequest(QuorumState& state, const QuorumMessage& message,
+                       const SnapshotRequest& request, Time now) {
+  if (message.term < state.vote.term) {
+    return Send(state, message.from,
+                AppendAnswer{false, LogIndex(), request.round});
+  }
+  FollowLeader(state, message, now);
+  if (request.snapshot.last_index > state.commit) {
+    InstallSnapshot(state, request.snapshot);
+  }
+  Send(state, message.from, AppendAnswer{true, state.commit, request.round});
+}
+
+void OnAppendAnswer(QuorumState& state, const QuorumMessage& message,
+                    const AppendAnswer& answer, Time now) {
+  if (state.role != QuorumRole::kLeader) return;
+  if (message.term != state.vote.term) return;
+  auto it = state.progress.find(message.from);
+  if (it == state.progress.end()) return;
+  MemberProgress& progress = it->second;
+  progress.last_answer = now;
+  progress.acked = std::max(progress.acked, answer.round);
+  if (answer.matched) {
+    progress.match = std::max(progress.match, answer.match);
+    progress.next = std::max(progress.next, progress.match.Next());
+    progress.snapshot_sent.reset();
+  } else {
+    progress.next = std::max(progress.match, answer.match).Next();
+    state.append_due = true;
+  }
+  AdvanceCommit(state, now);
+  AdvanceRound(state);
+}
+
+void SendSnapshot(QuorumState& state, const MemberId& id,
+                  MemberProgress& progress, Time now) {
+  bool waiting = progress.snapshot_sent &&
+                 now - *progress.snapshot_sent < state.timing.snapshot_retry;
+  if (waiting) return;
+  progress.snapshot_sent = now;
+  Send(state, id, SnapshotRequest{state.round, state.snapshot});
+}
+
+AppendRequest NextAppend(const QuorumState& state,
+                         const MemberProgress& progress) {
+  AppendRequest request;
+  request.previous_index = Before(progress.next);
+  request.previous_term =
+      TermAt(state, request.previous_index).value_or(QuorumTerm());
+  request.commit = state.commit;
+  request.round = state.round;
+  size_t bytes = 0;
+  size_t offset = OffsetAfter(state, request.previous_index);
+  for (; offset < state.log.size() && bytes < kMaxAppendBytes; ++offset) {
+    bytes += state.log[offset].command.size();
+    request.entries.push_back(state.log[offset]);
+  }
+  return request;
+}
+
+/// A heartbeat for a member that waits for its snapshot.
+AppendRequest BareHeartbeat(const QuorumState& state) {
+  AppendRequest request;
+  request.previous_index = state.snapshot.last_index;
+  request.previous_term = state.snapshot.last_term;
+  request.round = state.round;
+  return request;
+}
+
+void SendAppends(QuorumState& state, bool heartbeat, Time now) {
+  for (auto& [id, progress] : state.progress) {
+    if (progress.next <= state.snapshot.last_index) {
+      SendSnapshot(state, id, progress, now);
+      if (heartbeat) Send(state, id, BareHeartbeat(state));
+      continue;
+    }
+    bool nothing_new = progress.next > LastIndex(state);
+    if (nothing_new && !heartbeat) continue;
+    AppendRequest request = NextAppend(state, progress);
+    if (!request.entries.empty()) {
+      progress.next = request.entries.back().index.Next();
+    }
+    Send(state, id, std::move(request));
+  }
+}
+
+bool HasQuorum(const QuorumState& state, Time now) {
+  size_t count = IsVoter(state.config, state.self) ? 1 : 0;
+  for (const auto& [id, progress] : state.progress) {
+    bool recent = now - progress.last_answer < state.timing.election_max;
+    if (recent && IsVoter(state.config, id)) ++count;
+  }
+  return IsQuorum(state, count);
+}
+
+void OnLeaderTick(QuorumState& state, Time now) {
+  if (!HasQuorum(state, now)) {
+    return BecomeFollower(state, state.vote.term, now);
+  }
+  if (now < state.heartbeat_due) return;
+  StartRound(state);
+}
+
+size_t VoterDifference(const QuorumConfig& a, const QuorumConfig& b) {
+  size_t count = 0;
+  for (const auto& [id, member] : a.members) {
+    if (member.voter && !IsVoter(b, id)) ++count;
+  }
+  for (const auto& [id, member] : b.members) {
+    if (member.voter && !IsVoter(a, id)) ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+bool QuorumOutput::Empty() const {
+  return !save_vote && !install && append.empty() && messages.empty() &&
+         apply.empty() && confirmed == Round();
+}
+
+QuorumState MakeQuorum(MemberId self, StoredQuorum stored, QuorumTiming timing,
+                       uint64_t seed, Time now) {
+  QuorumState state;
+  state.self = std::move(self);
+  state.timing = timing;
+  state.random = seed * 0x9e3779b97f4a7c15ULL + 1;
+  state.vote = stored.vote;
+  state.snapshot = std::move(stored.snapshot);
+  state.log = std::move(stored.entries);
+  state.commit = state.snapshot.last_index;
+  state.applied = state.snapshot.last_index;
+  state.persisted = LastIndex(state);
+  FindConfig(state);
+  ResetElection(state, now);
+  return state;
+}
+
+void OnTick(QuorumState& state, Time now) {
+  if (state.role == QuorumRole::kLeader) return OnLeaderTick(state, now);
+  if (now >= state.election_due) StartPreVote(state, now);
+}
+
+void OnMessage(QuorumState& state, const QuorumMessage& message, Time now) {
+  if (message.to != state.self) return;
+  const VoteRequest* vote = std::get_if<VoteRequest>(&message.body);
+  if (vote != nullptr && vote->pre) {
+    return OnPreVoteRequest(state, message, *vote, now);
+  }
+  if (message.term > state.vote.term) BecomeFollower(state, message.term, now);
+  if (vote != nullptr) return OnVoteRequest(state, message, *vote, now);
+  if (const auto* answer = std::get_if<VoteAnswer>(&message.body)) {
+    return OnVoteAnswer(state, message, *answer, now);
+  }
+  if (const auto* append = std::get_if<AppendRequest>(&message.body)) {
+    return OnAppendRequest(state, message, *append, now);
+  }
+  if (const auto* snapshot = std::get_if<SnapshotRequest>(&message.body)) {
+    return OnSnapshotRequest(state, message, *snapshot, now);
+  }
+  OnAppendAnswer(state, message, std::get<AppendAnswer>(message.body), now);
+}
+
+void OnPersisted(QuorumState& state, LogIndex index, QuorumTerm term,
+                 Time now) {
+  if (TermAt(state, index) != term) return;
+  state.persisted = std::max(state.persisted, index);
+  if (state.role == QuorumRole::kLeader) AdvanceCommit(state, now);
+}
+
+std::optional<LogIndex> Propose(QuorumState& state, std::string command) {
+  if (state.role != QuorumRole::kLeader) return std::nullopt;
+  return AppendOwn(state, EntryKind::kCommand, std::move(command),
+                   QuorumConfig());
+}
+
+Result<LogIndex> ProposeConfig(QuorumState& state, QuorumConfig config) {
+  if (state.role != QuorumRole::kLeader) {
+    return Error{ErrorKind::kNotLeader, "this member does not lead",
+                 "ask the leader"};
+  }
+  bool settled = state.config_index <= state.commit &&
+                 TermAt(state, state.commit) == state.vote.term;
+  if (!settled) {
+    return Error{ErrorKind::kUnavailable,
+                 "another change of membership is not committed yet",
+                 "try again shortly"};
+  }
+  bool too_much = VoterDifference(state.config, config) > 1;
+  if (too_much || VoterCount(config) == 0) {
+    return Error{ErrorKind::kInvalidInput,
+                 "membership changes by one voter at a time",
+                 "add or remove one member, then the next"};
+  }
+  return AppendOwn(state, EntryKind::kConfig, "", std::move(config));
+}
+
+std::optional<Round> StartRound(QuorumState& state) {
+  if (state.role != QuorumRole::kLeader) return std::nullopt;
+  state.round = state.round.Next();
+  state.heartbeat_due = Time();
+  return state.round;
+}
+
+void Compact(QuorumState& state, LogIndex index, std::string bytes) {
+  if (index <= state.snapshot.last_index || index > state.applied) return;
+  QuorumSnapshot snapshot;
+  snapshot.last_index = index;
+  snapshot.last_term = *TermAt(state, index);
+  snapshot.config = state.snapshot.config;
+  snapshot.state = std::move(bytes);
+  size_t offset = OffsetAfter(state, index);
+  for (size_t i = 0; i < offset; ++i) {
+    if (state.log[i].kind == EntryKind::kConfig) {
+      snapshot.config = state.log[i].config;
+    }
+  }
+  state.log.erase(state.log.begin(),
+                  state.log.begin() + static_cast<ptrdiff_t>(offset));
+  state.snapshot = std::move(snapshot);
+}
+
+QuorumOutput TakeOutput(QuorumState& state, Time now) {
+  if (state.role == QuorumRole::kLeader) {
+    SyncProgress(state, now);
+    bool heartbeat = now >= state.heartbeat_due;
+    if (heartbeat) state.heartbeat_due = now + state.timing.heartbeat;
+    if (heartbeat || state.append_due) SendAppends(state, heartbeat, now);
+    AdvanceRound(state);
+  }
+  state.append_due = false;
+  return std::exchange(state.output, QuorumOutput());
+}
+
+bool CaughtUp(const QuorumState& state, const MemberId& id, Time now) {
+  auto it = state.progress.find(id);
+  if (it == state.progress.end()) return false;
+  bool recent = now - it->second.last_answer < state.timing.election_min;
+  return recent && it->second.match >= state.commit;
+}
+
+LogIndex LastIndex(const QuorumState& state) {
+  return LogIndex(state.snapshot.last_index.value() + state.log.size());
+}
+
+std::optional<QuorumTerm> TermAt(const QuorumState& state, LogIndex index) {
+  if (index == state.snapshot.last_index) return state.snapshot.last_term;
+  if (index < state.snapshot.last_index) return std::nullopt;
+  if (index > LastIndex(state)) return std::nullopt;
+  return state.log[OffsetAfter(state, index) - 1].term;
+}
+
+bool IsVoter(const QuorumConfig& config, const MemberId& id) {
+  auto it = config.members.find(id);
+  return it != config.members.end() && it->second.voter;
+}
+
+size_t VoterCount(const QuorumConfig& config) {
+  return static_cast<size_t>(
+      std::count_if(config.members.begin(), config.members.end(),
+                    [](const auto& item) { return item.second.voter; }));
+}
+
+}  // namespace cardamomchute
