--- /dev/null
+++ b/tests/process.cc
@@ -0,0 +1,85 @@
+#include "process.h"
+
+#include <signal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/process.hpp>
+#include <chrono>
+#include <iterator>
+#include <set>
+
+namespace cardamomchute::testing {
+namespace {
+
+namespace bp = boost::process;
+
+std::string PathOf(const std::string& program) {
+  return std::string(PROGRAM_FOLDER) + "/" + program;
+}
+
+}  // namespace
+
+uint16_t FreePort() {
+  static std::set<uint16_t> given;
+  boost::asio::io_context io;
+  while (true) {
+    boost::asio::ip::tcp::acceptor acceptor(
+        io, {boost::asio::ip::address_v4::loopback(), 0});
+    uint16_t port = acceptor.local_endpoint().port();
+    if (given.insert(port).second) return port;
+  }
+}
+
+class Process::Impl {
+ public:
+  Impl(const std::string& program, const std::vector<std::string>& args,
+       const std::string& log)
+      : child_(PathOf(program), bp::args(args),
+               (bp::std_out & bp::std_err) > log, bp::std_in < bp::null) {}
+
+  void Signal(int signal) {
+    if (child_.valid() && child_.running()) ::kill(child_.id(), signal);
+  }
+
+  bp::child child_;
+};
+
+Process::Process(const std::string& program,
+                 const std::vector<std::string>& args, const std::string& log)
+    : impl_(std::make_unique<Impl>(program, args, log)) {}
+
+Process::~Process() { Kill(); }
+
+void Process::Kill() {
+  impl_->Signal(SIGKILL);
+  std::error_code ignored;
+  if (impl_->child_.valid()) impl_->child_.wait(ignored);
+}
+
+void Process::Freeze() { impl_->Signal(SIGSTOP); }
+
+void Process::Thaw() { impl_->Signal(SIGCONT); }
+
+bool Process::Terminate(int seconds) {
+  impl_->Signal(SIGTERM);
+  std::error_code error;
+  bool ended = impl_->child_.wait_for(std::chrono::seconds(seconds), error);
+  return ended && impl_->child_.exit_code() == 0;
+}
+
+bool Process::Running() { return impl_->child_.running(); }
+
+RunOutcome Run(const std::string& program,
+               const std::vector<std::string>& args) {
+  bp::ipstream out;
+  bp::child child(PathOf(program), bp::args(args), bp::std_out > out,
+                  bp::std_err > bp::null, bp::std_in < bp::null);
+  RunOutcome outcome;
+  outcome.output.assign(std::istreambuf_iterator<char>(out), {});
+  child.wait();
+  outcome.status = child.exit_code();
+  return outcome;
+}
+
+}  // namespace cardamomchute::testing
