Own a group: connections, queue, fences and failover

The owner's side in one first version: pooled connections with reset and prepared statements, floors and routing, queue by rank, fencing of acknowledgements and the failover state machine. Decisions are in policy/.

--- /dev/null
+++ b/endpoints/src/dispatch.cc
@@ -0,0 +1,267 @@
+// Which waiting statement goes where, and how it is sent.
+
+#include <algorithm>
+
+#include "cardamomchute/base/log.h"
+#include "cardamomchute/policy/classify.h"
+#include "group.h"
+#include "group_limits.h"
+#include "statement_plan.h"
+
+namespace cardamomchute {
+namespace {
+
+/// Whether the position query may go out right behind the statement.
+bool PositionFollows(const Job& job) {
+  if (!job.by_primary) return false;
+  if (job.in_block) {
+    std::string_view sql = SimpleQuery(job.statement);
+    return !sql.empty() && Classify(sql).kind == SqlKind::kCommit;
+  }
+  if (job.kind == StatementKind::kWrite) return true;
+  return job.kind == StatementKind::kRead && job.exact();
+}
+
+}  // namespace
+
+void Group::Dispatch() {
+  if (dispatching_) {
+    dispatch_again_ = true;
+    return;
+  }
+  dispatching_ = true;
+  do {
+    dispatch_again_ = false;
+    while (queue_.size() > 0 && !stopped_) {
+      Time now = Now();
+      if (!parts_.lease->ValidAt(now)) break;
+      bool primary = PrimaryInForce(now) && pool_->FreeSlots(primary_) > 0;
+      bool any = std::any_of(
+          members_->all().begin(), members_->all().end(),
+          [this](const auto& m) { return pool_->FreeSlots(m.first) > 0; });
+      std::optional<QueueItem> item = queue_.Next(
+          now, {primary, any},
+          [this, now](const QueueItem& i) { return CanRun(i, now); });
+      if (!item) break;
+      auto found = waiting_.find(item->id);
+      if (found == waiting_.end()) continue;
+      ChannelPtr channel = found->second;
+      if (RefuseFloor(channel, now)) continue;
+      Run(channel, chosen_);
+    }
+  } while (dispatch_again_);
+  dispatching_ = false;
+}
+
+bool Group::CanRun(const QueueItem& item, Time now) {
+  auto found = waiting_.find(item.id);
+  if (found == waiting_.end()) return true;
+  const ChannelPtr& channel = found->second;
+  if (item.lane == Lane::kPrimary) {
+    chosen_ = primary_;
+    return true;
+  }
+  ReadRoute route = RouteFor(channel, *channel->job, now);
+  chosen_ = route.to == ReadRoute::To::kReplica ? route.replica : primary_;
+  if (route.to == ReadRoute::To::kReplica) return true;
+  return route.to == ReadRoute::To::kPrimary && PrimaryInForce(now) &&
+         pool_->FreeSlots(primary_) > 0;
+}
+
+std::vector<ReplicaView> Group::ReplicaViews(Time now) {
+  const Member* primary = members_->Find(primary_);
+  std::vector<ReplicaView> views;
+  for (const auto& [id, member] : members_->all()) {
+    if (id == primary_) continue;
+    ReplicaView view;
+    view.id = id;
+    view.usable = members_->Usable(member, now);
+    view.replayed = Floor{member.last.term, member.last.replayed};
+    view.free_slots = pool_->FreeSlots(id);
+    view.same_zone = member.state.zone == parts_.zone;
+    if (primary != nullptr) {
+      std::optional<Time> had_all = primary->history.HadAllUntil(view.replayed);
+      if (had_all) view.staleness = now - *had_all;
+      std::optional<Time> past = primary->history.FirstPast(view.replayed);
+      if (past) {
+        view.lag = std::max(Duration(0), member.last_asked - *past);
+      }
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+ReadRoute Group::RouteFor(const ChannelPtr& channel, const Job& job, Time now) {
+  SessionFloor& floor = *channel->floor;
+  Resolve(&floor);
+  ReadRequest read;
+  read.max_staleness = job.statement.max_staleness;
+  Floor known{term_, floor.known.position};
+  const Member* primary = members_->Find(primary_);
+  std::optional<Time> reached;
+  if (primary != nullptr) reached = primary->history.FirstAt(known);
+  if (reached) read.floor_age = now - *reached;
+  if (floor.pending.empty()) {
+    read.floor = known;
+  } else if (floor.pending.size() == 1) {
+    const PendingFloor& pending = floor.pending.front();
+    const Member* last = members_->Find(pending.member);
+    bool still_there = last != nullptr && !pending.by_primary &&
+                       pending.term == term_ &&
+                       pending.since > last->broken_at &&
+                       last->last.replayed >= known.position;
+    if (still_there) read.last_replica = pending.member;
+  }
+  size_t rank = job.statement.rank.value();
+  Duration limit = std::min(kMaxCatchUpWait, (job.deadline - job.arrived) / 4);
+  if (rank < ranks_.size() && ranks_[rank].target > Duration(0)) {
+    limit = std::min(limit, ranks_[rank].target / 2);
+  }
+  read.wait_left = limit - (now - job.arrived);
+  double patience_ms = std::max(5.0, queue_.service_ms(Lane::kAny));
+  read.waits_for_slot =
+      static_cast<double>((now - job.arrived).ms()) > patience_ms;
+  PrimaryView at_primary;
+  at_primary.usable = PrimaryInForce(now);
+  at_primary.free_slots = pool_->FreeSlots(primary_);
+  at_primary.slots = spec_.slots;
+  at_primary.wanted_by_writes = queue_.Waiting(Lane::kPrimary) > 0;
+  ReadRoute route = RouteRead(read, ReplicaViews(now), at_primary);
+  bool tight =
+      read.max_staleness > Duration(0) && read.max_staleness < kTightStaleness;
+  bool positions_missing = route.to == ReadRoute::To::kPrimary ||
+                           route.to == ReadRoute::To::kWaitForPosition;
+  if (tight || positions_missing) members_->HurryUntil(now + kHurryTime);
+  if (route.to == ReadRoute::To::kWaitForPosition) members_->Kick(now);
+  return route;
+}
+
+/// Refuses a statement whose session's floor the term in force can't hold.
+bool Group::RefuseFloor(const ChannelPtr& channel, Time now) {
+  SessionFloor& floor = *channel->floor;
+  Resolve(&floor);
+  FloorVerdict verdict = CheckFloor(floor.known, term_, ends_);
+  if (verdict == FloorVerdict::kHolds) return false;
+  LogLine(LogLevel::kWarn, "floor_refused")
+      .Field("group", id_)
+      .Field("session", channel->session_key)
+      .Field("floor", ToString(floor.known))
+      .Field("term", term_);
+  if (verdict == FloorVerdict::kAhead) {
+    Refuse(channel,
+           {"ERROR", "40001",
+            "the session has seen a later term than this VM knows", "",
+            "it did not run; retry in a moment"},
+           "floor_ahead");
+    return true;
+  }
+  floor = SessionFloor();
+  NoteArrival(&floor, now);
+  channel->reported = Floor();
+  Refuse(channel,
+         {"ERROR", "40001",
+          "what the session has seen may have been lost in a failover", "",
+          "it did not run; check what the session relies on, then go on: the "
+          "next statement sees the present state"},
+         "floor_lost");
+  return true;
+}
+
+void Group::Run(const ChannelPtr& channel, const EndpointId& endpoint) {
+  JobPtr job = channel->job;
+  PooledPtr connection =
+      pool_->Acquire(endpoint, channel->session_key, job->statement.setup_hash);
+  waiting_.erase(job->id);
+  if (!connection) {
+    Refuse(channel,
+           {"ERROR", "57P03", "the endpoint's connections were lost", "",
+            "it did not run; retry"},
+           "no_connection");
+    return;
+  }
+  working_[connection->number] = channel;
+  job->connection = connection;
+  job->endpoint = endpoint;
+  job->term = term_;
+  job->by_primary = endpoint == primary_;
+  channel->slot_since = Now();
+  channel->slot_rank = job->statement.rank;
+  channel->slot_lane = job->lane;
+  metrics_.Queued(job->statement.rank, NowMicros() - job->arrived_micros);
+  SendJob(channel, job);
+}
+
+void Group::SendJob(const ChannelPtr& channel, const JobPtr& job) {
+  PooledConnection* connection = job->connection.get();
+  LogLine(LogLevel::kDebug, "route")
+      .Field("group", id_)
+      .Field("session", channel->session_key)
+      .Field("statement", job->statement.number)
+      .Field("rank", job->statement.rank)
+      .Field("endpoint", job->endpoint)
+      .Field("member", job->by_primary ? "primary" : "replica")
+      .Field("connection", connection->number)
+      .Field("waited_ms", (Now() - job->arrived).ms());
+  StatementPlan plan = PlanStatement(connection, job->statement,
+                                     channel->session_key, job->in_block);
+  job->parsed = std::move(plan.parsed);
+  std::vector<Exchange> exchanges;
+  for (PlanStep step : plan.steps) {
+    Exchange swallowed;
+    if (step != PlanStep::kPrepare) {
+      swallowed.on_end = [job](const ExchangeEnd& end) {
+        if (end.error && !job->setup_error) job->setup_error = end.error;
+      };
+    }
+    exchanges.push_back(std::move(swallowed));
+  }
+  exchanges.push_back(RelayExchange(channel, job));
+  std::string bytes = std::move(plan.bytes);
+  bytes += job->statement.bytes;
+  job->sent = true;
+  job->sent_at = Now();
+  job->sent_micros = NowMicros();
+  job->position_asked = PositionFollows(*job);
+  if (job->position_asked && job->statement.complete) {
+    AskPosition(channel, job, &bytes, &exchanges);
+  }
+  if (job->plain_read()) job->replay = std::move(job->statement.bytes);
+  std::string().swap(job->statement.bytes);
+  connection->wire->Send(std::move(bytes), std::move(exchanges));
+}
+
+void Group::AskPosition(const ChannelPtr& channel, const JobPtr& job,
+                        std::string* bytes, std::vector<Exchange>* exchanges) {
+  job->position_asked = true;
+  job->position_asked_at = Now();
+  *bytes += pgwire::Query(pgwire::kProbeSql);
+  Exchange exchange;
+  exchange.on_end = [weak = weak_from_this(), channel,
+                     job](const ExchangeEnd& end) {
+    std::shared_ptr<Group> group = weak.lock();
+    if (group) group->OnPosition(channel, job, end);
+  };
+  exchanges->push_back(std::move(exchange));
+}
+
+Exchange Group::RelayExchange(const ChannelPtr& channel, const JobPtr& job) {
+  Exchange exchange;
+  exchange.on_piece = [weak = weak_from_this(), channel, job](
+                          char type, bool first, std::string_view piece) {
+    std::shared_ptr<Group> group = weak.lock();
+    if (group) group->OnPiece(channel, job, type, first, piece);
+  };
+  exchange.on_read_done = [weak = weak_from_this(), channel] {
+    std::shared_ptr<Group> group = weak.lock();
+    if (group) group->Flush(channel);
+  };
+  exchange.on_end = [weak = weak_from_this(), channel,
+                     job](const ExchangeEnd& end) {
+    std::shared_ptr<Group> group = weak.lock();
+    if (group) group->OnAnswerEnd(channel, job, end);
+  };
+  return exchange;
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/endpoints/src/group.h
@@ -0,0 +1,149 @@
+/// One database group at its owner: channels, queue, connections, failover.
+#ifndef CARDAMOMCHUTE_ENDPOINTS_SRC_GROUP_H_
+#define CARDAMOMCHUTE_ENDPOINTS_SRC_GROUP_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "cardamomchute/endpoints/owner.h"
+#include "cardamomchute/policy/routing.h"
+#include "failover_executor.h"
+#include "floors.h"
+#include "job.h"
+#include "members.h"
+#include "owner_metrics.h"
+#include "pool.h"
+
+namespace cardamomchute {
+
+class Group : public std::enable_shared_from_this<Group> {
+ public:
+  Group(const OwnerParts& parts, GroupId id, Epoch epoch);
+
+  void Start();
+  void OnView(const ViewPtr& view);
+  /// Ends all channels and closes all connections.
+  void Stop(const std::string& reason);
+
+  ToOwnerSink Open(const OpenChannel& open, FromOwnerSink sink);
+
+  /// Refuses what waits and what comes, lets finish what runs, then gives the
+  /// group up; `done` runs once that is settled.
+  void Drain(std::function<void()> done);
+
+  Epoch epoch() const { return epoch_; }
+
+ private:
+  // group.cc: view, members and time.
+  void SetDocument(const Document& document);
+  void SetRecord(const GroupState& record);
+  void OnMemberAnswer(const EndpointId& id);
+  void OnTermEnded(Term term, Position end);
+  void ScheduleTick();
+  void Tick();
+  void CheckPrimaryInForce(Time now);
+  void CheckRunning(Time now);
+  void CheckReplicaWaits(Time now);
+  void SchedulePoll();
+  void FinishDrain();
+
+  // channels.cc: what callers send.
+  void OnMessage(const ChannelPtr& channel, ToOwner message);
+  void OnStatement(const ChannelPtr& channel, Statement statement);
+  void OnStatementData(const ChannelPtr& channel, StatementData data);
+  void OnCancel(const ChannelPtr& channel, const CancelStatement& cancel);
+  void OnCredit(const ChannelPtr& channel, const Credit& credit);
+  void OnClose(const ChannelPtr& channel);
+  void Admit(const ChannelPtr& channel, const JobPtr& job);
+  void Reset(const ChannelPtr& channel, const std::string& reason);
+  void RollBack(const ChannelPtr& channel, bool keep_connection);
+  bool RefuseEarly(const ChannelPtr& channel, const JobPtr& job, Time now);
+
+  // dispatch.cc: which statement goes where.
+  void Dispatch();
+  bool CanRun(const QueueItem& item, Time now);
+  ReadRoute RouteFor(const ChannelPtr& channel, const Job& job, Time now);
+  std::vector<ReplicaView> ReplicaViews(Time now);
+  bool RefuseFloor(const ChannelPtr& channel, Time now);
+  void Run(const ChannelPtr& channel, const EndpointId& endpoint);
+  void SendJob(const ChannelPtr& channel, const JobPtr& job);
+  void AskPosition(const ChannelPtr& channel, const JobPtr& job,
+                   std::string* bytes, std::vector<Exchange>* exchanges);
+  Exchange RelayExchange(const ChannelPtr& channel, const JobPtr& job);
+
+  // answers.cc: what goes back, and the fences before it.
+  void OnPiece(const ChannelPtr& channel, const JobPtr& job, char type,
+               bool first, std::string_view piece);
+  void OnAnswerEnd(const ChannelPtr& channel, const JobPtr& job,
+                   const ExchangeEnd& end);
+  void OnPosition(const ChannelPtr& channel, const JobPtr& job,
+                  const ExchangeEnd& end);
+  void Settle(const ChannelPtr& channel, const JobPtr& job);
+  void GiveBack(const ChannelPtr& channel, const JobPtr& job);
+  void FreeSlot(const ChannelPtr& channel, const PooledPtr& connection);
+  void Acknowledge(const ChannelPtr& channel, const JobPtr& job);
+  void EndFenced(const ChannelPtr& channel, const JobPtr& job,
+                 const std::string& fence);
+  void EndSetupFailed(const ChannelPtr& channel, const JobPtr& job);
+  void EndUnknown(const ChannelPtr& channel, const JobPtr& job,
+                  const std::string& reason);
+  void Refuse(const ChannelPtr& channel, const pgwire::Report& report,
+              const std::string& reason);
+  void EndJob(const ChannelPtr& channel, StatementEnd end);
+  void Flush(const ChannelPtr& channel);
+  void SendOut(const ChannelPtr& channel, const JobPtr& job);
+  void ScheduleFlush(const ChannelPtr& channel);
+  void OnConnectionLost(const PooledPtr& connection,
+                        const ConnectionLoss& loss);
+  void Break(const ChannelPtr& channel, const std::string& reason);
+  void BreakWorkAt(const EndpointId& endpoint, const std::string& reason);
+  std::string FenceOf(const Job& job) const;
+  std::optional<Floor> NewFloor(const ChannelPtr& channel);
+
+  bool PrimaryInForce(Time now) const;
+  void Resolve(SessionFloor* floor);
+
+  OwnerParts parts_;
+  GroupId id_;
+  Epoch epoch_;
+  GroupSpec spec_;
+  std::vector<RankSpec> ranks_;
+  LimitSpec limits_;
+  EndpointId primary_;
+  Term term_;
+  bool primary_left_ = false;  ///< work at the primary was already broken off
+
+  std::unique_ptr<Members> members_;
+  std::shared_ptr<Pool> pool_;
+  std::shared_ptr<FailoverExecutor> failover_;
+  RankQueue queue_;
+  FloorBook floors_;
+  TermEnds ends_;
+  TermEnd ending_;  ///< of the term whose primary is being replaced
+  OwnerMetrics metrics_;
+
+  std::set<ChannelPtr> channels_;
+  std::unordered_map<uint64_t, ChannelPtr> waiting_;  ///< by job
+  std::unordered_map<uint64_t, ChannelPtr> working_;  ///< by connection
+  std::set<ChannelPtr> replica_waits_;
+  EndpointId chosen_;  ///< where the item accepted last shall run
+  bool dispatching_ = false;
+  bool dispatch_again_ = false;
+  uint64_t next_job_ = 1;
+  uint64_t next_session_ = 1;
+  Time replica_alive_at_;
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer poll_timer_;
+  bool polling_ = false;
+  bool draining_ = false;
+  bool stopped_ = false;
+  std::function<void()> drained_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_ENDPOINTS_SRC_GROUP_H_
--- /dev/null
+++ b/endpoints/src/group_limits.h
@@ -0,0 +1,31 @@
+/// Times by which a group's owner acts.
+#ifndef CARDAMOMCHUTE_ENDPOINTS_SRC_GROUP_LIMITS_H_
+#define CARDAMOMCHUTE_ENDPOINTS_SRC_GROUP_LIMITS_H_
+
+#include "cardamomchute/base/time.h"
+
+namespace cardamomchute {
+
+inline constexpr Duration kGroupTick = Millis(10);
+/// Probes stay quick for this long after something waited for positions.
+inline constexpr Duration kHurryTime = Millis(500);
+/// A cancelled statement gets this long to end before its connection is cut.
+inline constexpr Duration kCancelPatience = Millis(1000);
+/// Without a live replica, a write in mode `replicated` waits this long for
+/// one before its outcome is unknown, and after as long none is begun.
+inline constexpr Duration kReplicationPatience = Millis(2000);
+/// A read waits for a replica to catch up for at most this long, or for half
+/// of its rank's target, or for a quarter of the time it has.
+inline constexpr Duration kMaxCatchUpWait = Millis(100);
+/// A rollback gets this long to be answered.
+inline constexpr Duration kRollBackPatience = Millis(1000);
+/// A read is sent again at most this often after broken connections.
+inline constexpr int kMaxReadAttempts = 3;
+/// Held back bytes beyond this are passed on before the answer's end.
+inline constexpr size_t kMaxHeldBytes = 1024 * 1024;
+/// Staleness bounds below this need quick probes all the time.
+inline constexpr Duration kTightStaleness = Millis(500);
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_ENDPOINTS_SRC_GROUP_LIMITS_H_
--- /dev/null
+++ b/endpoints/src/owner_metrics.h
@@ -0,0 +1,66 @@
+/// What an owner counts, looked up once for each rank.
+#ifndef CARDAMOMCHUTE_ENDPOINTS_SRC_OWNER_METRICS_H_
+#define CARDAMOMCHUTE_ENDPOINTS_SRC_OWNER_METRICS_H_
+
+#include <map>
+#include <string>
+
+#include "cardamomchute/base/ids.h"
+#include "cardamomchute/platform/metrics.h"
+
+namespace cardamomchute {
+
+class OwnerMetrics {
+ public:
+  explicit OwnerMetrics(Metrics* metrics) : metrics_(metrics) {}
+
+  void Queued(Rank rank, int64_t micros) { OfRank(rank).queue->Record(micros); }
+  void Served(Rank rank, bool by_replica, int64_t micros) {
+    Ranked& ranked = OfRank(rank);
+    ranked.service->Record(micros);
+    (by_replica ? ranked.by_replica : ranked.by_primary)->Add();
+  }
+  void Refused(Rank rank, const std::string& reason) {
+    metrics_
+        ->GetCounter("owner_refused_total",
+                     RankLabel(rank) + ",reason=\"" + reason + "\"")
+        .Add();
+  }
+  void Unknown(const std::string& reason) {
+    metrics_->GetCounter("owner_unknown_total", "reason=\"" + reason + "\"")
+        .Add();
+  }
+
+ private:
+  struct Ranked {
+    LatencyHistogram* queue = nullptr;
+    LatencyHistogram* service = nullptr;
+    Counter* by_primary = nullptr;
+    Counter* by_replica = nullptr;
+  };
+
+  static std::string RankLabel(Rank rank) {
+    return "rank=\"" + std::to_string(rank.value()) + "\"";
+  }
+
+  Ranked& OfRank(Rank rank) {
+    auto found = ranks_.find(rank);
+    if (found != ranks_.end()) return found->second;
+    std::string label = RankLabel(rank);
+    Ranked& ranked = ranks_[rank];
+    ranked.queue = &metrics_->GetHistogram("owner_queue_micros", label);
+    ranked.service = &metrics_->GetHistogram("owner_service_micros", label);
+    ranked.by_primary = &metrics_->GetCounter("owner_statements_total",
+                                              label + ",member=\"primary\"");
+    ranked.by_replica = &metrics_->GetCounter("owner_statements_total",
+                                              label + ",member=\"replica\"");
+    return ranked;
+  }
+
+  Metrics* metrics_;
+  std::map<Rank, Ranked> ranks_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_ENDPOINTS_SRC_OWNER_METRICS_H_
--- /dev/null
+++ b/endpoints/src/statement_plan.cc
@@ -0,0 +1,135 @@
+#include "statement_plan.h"
+
+#include <boost/endian/conversion.hpp>
+
+#include "cardamomchute/pgwire/group_sql.h"
+#include "cardamomchute/pgwire/message.h"
+
+namespace cardamomchute {
+namespace {
+
+constexpr size_t kHeaderBytes = 5;
+
+/// One frontend message, perhaps cut at the end of the piece it came in.
+struct Frontend {
+  char type = 0;
+  std::string_view body;
+  size_t size = 0;  ///< with header, also of what was cut
+};
+
+bool NextFrontend(std::string_view bytes, Frontend* message) {
+  if (bytes.size() < kHeaderBytes) return false;
+  uint32_t length = boost::endian::load_big_u32(
+      reinterpret_cast<const unsigned char*>(bytes.data() + 1));
+  if (length < 4) return false;
+  message->type = bytes[0];
+  message->size = size_t{length} + 1;
+  message->body = bytes.substr(kHeaderBytes, length - 4);
+  return true;
+}
+
+/// The statement's name, if the message is a Parse that names one.
+std::string_view ParsedName(const Frontend& message) {
+  if (message.type != 'P') return {};
+  return pgwire::BodyReader(message.body).CString();
+}
+
+std::string CloseStatement(std::string_view name) {
+  pgwire::Builder builder;
+  builder.Begin('C').Byte('S').CString(name).End();
+  return builder.Take();
+}
+
+void PlanReset(PooledConnection* connection, const Statement& statement,
+               const std::string& session, StatementPlan* plan) {
+  bool other_setup = connection->setup_hash != statement.setup_hash;
+  bool foreign = connection->dirty && connection->last_session != session;
+  bool fresh = connection->setup_hash == 0 && !connection->dirty;
+  if (!other_setup && !foreign) return;
+  if (!fresh) {
+    plan->bytes += pgwire::Query(pgwire::kResetSql);
+    plan->steps.push_back(PlanStep::kReset);
+    connection->prepared.clear();
+    connection->dirty = false;
+  }
+  for (const std::string& sql : statement.setup) {
+    plan->bytes += pgwire::Query(sql);
+    plan->steps.push_back(PlanStep::kSetup);
+  }
+  connection->setup_hash = statement.setup_hash;
+}
+
+/// Closes statements that may be there and parses those that must be.
+std::string PlanPrepared(PooledConnection* connection,
+                         const Statement& statement, StatementPlan* plan) {
+  std::string bytes;
+  for (const std::string& parse : statement.prepared) {
+    Frontend message;
+    if (!NextFrontend(parse, &message)) continue;
+    std::string name(ParsedName(message));
+    auto known = connection->prepared.find(name);
+    bool present = known != connection->prepared.end();
+    if (present && known->second == PreparedState::kPresent) continue;
+    if (present) bytes += CloseStatement(name);
+    bytes += parse;
+    plan->parsed.push_back(name);
+    connection->prepared[name] = PreparedState::kUncertain;
+  }
+  std::string_view rest = statement.bytes;
+  Frontend message;
+  while (NextFrontend(rest, &message)) {
+    std::string name(ParsedName(message));
+    if (!name.empty()) {
+      if (connection->prepared.contains(name)) bytes += CloseStatement(name);
+      connection->prepared[name] = PreparedState::kUncertain;
+      plan->parsed.push_back(name);
+    }
+    if (message.size >= rest.size()) break;
+    rest.remove_prefix(message.size);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+StatementPlan PlanStatement(PooledConnection* connection,
+                            const Statement& statement,
+                            const std::string& session, bool in_block) {
+  StatementPlan plan;
+  if (!in_block) PlanReset(connection, statement, session, &plan);
+  std::string prepare = PlanPrepared(connection, statement, &plan);
+  if (!prepare.empty()) {
+    plan.bytes += prepare;
+    plan.bytes += pgwire::Builder().Begin('S').End().bytes();
+    plan.steps.push_back(PlanStep::kPrepare);
+  }
+  StatementKind kind = static_cast<StatementKind>(statement.kind);
+  if (kind != StatementKind::kRead || in_block) connection->dirty = true;
+  connection->last_session = session;
+  return plan;
+}
+
+void NoteBatchEnd(PooledConnection* connection,
+                  const std::vector<std::string>& parsed, bool failed,
+                  const std::string& tag) {
+  if (tag == "DISCARD ALL" || tag == "DEALLOCATE ALL") {
+    for (auto& [name, state] : connection->prepared) {
+      state = PreparedState::kUncertain;
+    }
+    return;
+  }
+  if (failed) return;
+  for (const std::string& name : parsed) {
+    connection->prepared[name] = PreparedState::kPresent;
+  }
+}
+
+std::string_view SimpleQuery(const Statement& statement) {
+  Frontend message;
+  if (!statement.complete) return {};
+  if (!NextFrontend(statement.bytes, &message)) return {};
+  if (message.type != 'Q' || message.size != statement.bytes.size()) return {};
+  return pgwire::BodyReader(message.body).CString();
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/policy/src/failover.cc
@@ -0,0 +1,230 @@
+#include "cardamomchute/policy/failover.h"
+
+#include <algorithm>
+
+namespace cardamomchute {
+namespace {
+
+using Kind = FailoverAction::Kind;
+using Phase = FailoverPhase;
+
+const MemberHealth* Find(const FailoverInputs& inputs, const EndpointId& id) {
+  auto found = std::find_if(inputs.members.begin(), inputs.members.end(),
+                            [&](const MemberHealth& m) { return m.id == id; });
+  return found == inputs.members.end() ? nullptr : &*found;
+}
+
+bool Fresh(const MemberHealth& member, Time now) {
+  return member.answered && now - *member.answered <= kCandidateFreshness &&
+         !member.refused;
+}
+
+void Enter(FailoverState* state, Phase phase, Time now) {
+  state->phase = phase;
+  state->since = now;
+  state->busy = false;
+}
+
+FailoverAction Act(FailoverState* state, Kind kind, const EndpointId& endpoint,
+                   Term term) {
+  state->busy = true;
+  return FailoverAction{kind, endpoint, term};
+}
+
+/// The member not in recovery with the highest term; nothing when two claim
+/// the same term or none does.
+const MemberHealth* SoleClaimant(const FailoverInputs& inputs, Term above) {
+  const MemberHealth* best = nullptr;
+  bool tied = false;
+  for (const MemberHealth& member : inputs.members) {
+    if (!Fresh(member, inputs.now) || !member.is_primary) continue;
+    if (member.received.term <= above) continue;
+    if (best != nullptr && member.received.term == best->received.term) {
+      tied = true;
+    }
+    if (best == nullptr || member.received.term > best->received.term) {
+      best = &member;
+      tied = false;
+    }
+  }
+  return tied ? nullptr : best;
+}
+
+/// The replica that has received most; leaving ones only if no other is left.
+const MemberHealth* BestCandidate(const FailoverInputs& inputs) {
+  const MemberHealth* best = nullptr;
+  for (const MemberHealth& member : inputs.members) {
+    if (member.id == inputs.primary || !Fresh(member, inputs.now)) continue;
+    if (member.is_primary) continue;
+    if (best == nullptr || best->received < member.received ||
+        (best->received == member.received && best->leaving &&
+         !member.leaving)) {
+      best = &member;
+    }
+  }
+  return best;
+}
+
+bool Suspected(const FailoverInputs& inputs) {
+  const MemberHealth* primary = Find(inputs, inputs.primary);
+  if (primary == nullptr) return true;
+  if (primary->refused) return true;
+  bool demoted = Fresh(*primary, inputs.now) && !primary->is_primary;
+  if (demoted) return true;
+  return primary->silent_since &&
+         inputs.now - *primary->silent_since >= kSuspectAfter;
+}
+
+/// A leaving primary hands over once it is idle and a replica has it all.
+bool HandsOver(FailoverState* state, const FailoverInputs& inputs) {
+  const MemberHealth* primary = Find(inputs, inputs.primary);
+  if (primary == nullptr || !primary->leaving) {
+    state->leaving_since.reset();
+    state->idle_since.reset();
+    return false;
+  }
+  if (!state->leaving_since) state->leaving_since = inputs.now;
+  if (inputs.primary_busy) state->idle_since.reset();
+  if (!inputs.primary_busy && !state->idle_since) {
+    state->idle_since = inputs.now;
+  }
+  const MemberHealth* best = BestCandidate(inputs);
+  if (best == nullptr || best->leaving) return false;
+  bool overdue = inputs.now - *state->leaving_since >= kLeavingPatience;
+  bool idle =
+      state->idle_since && inputs.now - *state->idle_since >= kLeavingIdle;
+  bool caught_up = best->received >= primary->received;
+  return caught_up && (overdue || idle);
+}
+
+FailoverAction Discover(FailoverState* state, const FailoverInputs& inputs) {
+  if (state->phase != Phase::kDiscovering) {
+    Enter(state, Phase::kDiscovering, inputs.now);
+  }
+  bool all_answered =
+      std::all_of(inputs.members.begin(), inputs.members.end(),
+                  [&](const MemberHealth& m) { return Fresh(m, inputs.now); });
+  if (!all_answered && inputs.now - state->since < kDiscoveryTime) return {};
+  const MemberHealth* claimant = SoleClaimant(inputs, Term(0));
+  if (claimant == nullptr) return {};
+  state->candidate = claimant->id;
+  state->new_term = claimant->received.term;
+  Enter(state, Phase::kRecording, inputs.now);
+  return Act(state, Kind::kProposePrimary, claimant->id, state->new_term);
+}
+
+FailoverAction Intend(FailoverState* state, const FailoverInputs& inputs) {
+  const MemberHealth* best = BestCandidate(inputs);
+  if (best == nullptr) return {};
+  state->candidate = best->id;
+  Enter(state, Phase::kIntending, inputs.now);
+  return Act(state, Kind::kProposeIntent, best->id, inputs.term);
+}
+
+FailoverAction Record(FailoverState* state, const FailoverInputs& inputs,
+                      const MemberHealth& member) {
+  state->candidate = member.id;
+  state->new_term = member.received.term;
+  Enter(state, Phase::kRecording, inputs.now);
+  return Act(state, Kind::kProposePrimary, member.id, state->new_term);
+}
+
+/// Carries on with a committed intent, whoever began it.
+FailoverAction Finish(FailoverState* state, const FailoverInputs& inputs) {
+  if (state->phase != Phase::kPromoting) {
+    Enter(state, Phase::kPromoting, inputs.now);
+  }
+  state->candidate = inputs.intent->candidate;
+  const MemberHealth* candidate = Find(inputs, state->candidate);
+  bool reachable = candidate != nullptr && Fresh(*candidate, inputs.now);
+  if (reachable && candidate->is_primary &&
+      candidate->received.term > inputs.intent->old_term) {
+    return Record(state, inputs, *candidate);
+  }
+  if (reachable) {
+    return Act(state, Kind::kPromote, state->candidate,
+               inputs.intent->old_term);
+  }
+  if (inputs.now - state->since < kCandidateTimeout) return {};
+  return Intend(state, inputs);
+}
+
+FailoverAction Watch(FailoverState* state, const FailoverInputs& inputs) {
+  if (state->phase != Phase::kSteady) {
+    Enter(state, Phase::kSteady, inputs.now);
+  }
+  const MemberHealth* newer = SoleClaimant(inputs, inputs.term);
+  bool itself = newer != nullptr && newer->id == inputs.primary;
+  if (itself) return Record(state, inputs, *newer);
+  if (HandsOver(state, inputs)) return Intend(state, inputs);
+  if (!Suspected(inputs)) return {};
+  if (newer != nullptr) return Record(state, inputs, *newer);
+  Enter(state, Phase::kAsking, inputs.now);
+  return Act(state, Kind::kAskObservers, inputs.primary, inputs.term);
+}
+
+}  // namespace
+
+FailoverAction NextFailoverAction(FailoverState* state,
+                                  const FailoverInputs& inputs) {
+  if (state->busy || inputs.now < state->not_before) return {};
+  switch (state->phase) {
+    case Phase::kReleasing:
+      if (!Suspected(inputs)) break;
+      return Act(state, Kind::kProposeRelease, inputs.primary, inputs.term);
+    case Phase::kIntending:
+      if (inputs.intent) return Finish(state, inputs);
+      if (Suspected(inputs)) return Intend(state, inputs);
+      break;
+    case Phase::kRecording:
+      return Act(state, Kind::kProposePrimary, state->candidate,
+                 state->new_term);
+    case Phase::kSteady:
+    case Phase::kDiscovering:
+    case Phase::kAsking:
+    case Phase::kPromoting:
+      break;
+  }
+  if (inputs.intent) return Finish(state, inputs);
+  if (inputs.primary.empty()) return Discover(state, inputs);
+  return Watch(state, inputs);
+}
+
+void OnFailoverEvent(FailoverState* state, const FailoverEvent& event,
+                     Time now) {
+  state->busy = false;
+  Time retry = now + kFailoverRetry;
+  switch (event.kind) {
+    case FailoverEvent::Kind::kObserved:
+      Enter(state, event.ok ? Phase::kReleasing : Phase::kIntending, now);
+      return;
+    case FailoverEvent::Kind::kReleased:
+      state->not_before = retry;
+      Enter(state, Phase::kSteady, now);
+      return;
+    case FailoverEvent::Kind::kIntended:
+      if (event.ok) return Enter(state, Phase::kPromoting, now);
+      state->not_before = retry;
+      Enter(state, Phase::kSteady, now);
+      return;
+    case FailoverEvent::Kind::kPromoted:
+      if (event.ok) {
+        state->new_term = event.term;
+        return Enter(state, Phase::kRecording, now);
+      }
+      state->not_before = retry;
+      return;
+    case FailoverEvent::Kind::kRecorded:
+      if (!event.ok) state->not_before = retry;
+      Enter(state, Phase::kSteady, now);
+      return;
+  }
+}
+
+bool MayUsePrimary(const FailoverState& state, const FailoverInputs& inputs) {
+  if (inputs.primary.empty() || inputs.intent) return false;
+  return state.phase == FailoverPhase::kSteady ||
+         state.phase == FailoverPhase::kAsking;
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/policy/src/routing.cc
@@ -0,0 +1,80 @@
+#include "cardamomchute/policy/routing.h"
+
+#include <algorithm>
+
+namespace cardamomchute {
+namespace {
+
+bool AtFloor(const ReadRequest& read, const ReplicaView& replica) {
+  if (!read.last_replica.empty()) return replica.id == read.last_replica;
+  return read.floor && replica.replayed >= *read.floor;
+}
+
+bool FreshEnough(const ReadRequest& read, const ReplicaView& replica) {
+  if (read.max_staleness < Duration(0)) return true;
+  return replica.staleness && *replica.staleness <= read.max_staleness;
+}
+
+/// Orders suitable replicas that have a free slot; the better one is greater.
+bool Better(const ReplicaView& a, const ReplicaView& b) {
+  if (a.free_slots != b.free_slots) return a.free_slots > b.free_slots;
+  if (a.same_zone != b.same_zone) return a.same_zone;
+  if (a.replayed != b.replayed) return a.replayed > b.replayed;
+  return a.id < b.id;
+}
+
+/// Time until the owner will know that the replica can serve the read.
+std::optional<Duration> CatchUpTime(const ReadRequest& read,
+                                    const ReplicaView& replica) {
+  if (!replica.usable) return std::nullopt;
+  bool too_old = replica.lag + kProbeDelay > read.max_staleness;
+  if (read.max_staleness > Duration(0) && too_old) return std::nullopt;
+  if (!read.floor) return kProbeDelay;
+  if (AtFloor(read, replica)) return kProbeDelay;
+  return std::max(Duration(0), replica.lag - read.floor_age) + kProbeDelay;
+}
+
+bool CatchesUpInTime(const ReadRequest& read,
+                     const std::vector<ReplicaView>& replicas) {
+  return std::any_of(
+      replicas.begin(), replicas.end(), [&](const ReplicaView& replica) {
+        std::optional<Duration> time = CatchUpTime(read, replica);
+        return time && *time <= read.wait_left;
+      });
+}
+
+bool SpareAtPrimary(const PrimaryView& primary) {
+  return primary.usable && !primary.wanted_by_writes &&
+         primary.free_slots == primary.slots && primary.slots > 0;
+}
+
+}  // namespace
+
+ReadRoute RouteRead(const ReadRequest& read,
+                    const std::vector<ReplicaView>& replicas,
+                    const PrimaryView& primary) {
+  if (read.max_staleness == Duration(0)) return {ReadRoute::To::kPrimary, {}};
+  const ReplicaView* best = nullptr;
+  bool busy = false;
+  for (const ReplicaView& replica : replicas) {
+    if (!replica.usable) continue;
+    if (!AtFloor(read, replica) || !FreshEnough(read, replica)) continue;
+    if (replica.free_slots == 0) {
+      busy = true;
+      continue;
+    }
+    if (best == nullptr || Better(replica, *best)) best = &replica;
+  }
+  if (best != nullptr) return {ReadRoute::To::kReplica, best->id};
+  if (busy) {
+    bool overflow = read.waits_for_slot && SpareAtPrimary(primary);
+    return {overflow ? ReadRoute::To::kPrimary : ReadRoute::To::kWaitForSlot,
+            {}};
+  }
+  if (read.wait_left > Duration(0) && CatchesUpInTime(read, replicas)) {
+    return {ReadRoute::To::kWaitForPosition, {}};
+  }
+  return {ReadRoute::To::kPrimary, {}};
+}
+
+}  // namespace cardamomchute
