--- /dev/null
+++ b/peers/src/member_links.h
@@ -0,0 +1,54 @@
+/// Outgoing links of a control member to the others: dialled again whenever
+/// they are lost, greeted first. What cannot be sent at once is dropped, as
+/// the quorum tolerates loss.
+#ifndef CARDAMOMCHUTE_PEERS_SRC_MEMBER_LINKS_H_
+#define CARDAMOMCHUTE_PEERS_SRC_MEMBER_LINKS_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cardamomchute/base/ids.h"
+#include "cardamomchute/base/time.h"
+#include "cardamomchute/peers/link.h"
+
+namespace cardamomchute {
+
+class MemberLinks : public std::enable_shared_from_this<MemberLinks> {
+ public:
+  /// `greeting` gives the packed MemberHello.
+  MemberLinks(boost::asio::any_io_executor executor,
+              std::function<std::string()> greeting);
+
+  /// Sets whom to dial; links to others are closed.
+  void SetPeers(const std::map<VmId, Address>& peers);
+  void Send(const VmId& vm, std::string message);
+  bool Connected(const VmId& vm) const;
+  /// Dials what is not connected, and greets at intervals.
+  void Tick(Time now);
+  void Close();
+
+ private:
+  struct Peer {
+    Address address;
+    std::shared_ptr<Link> link;
+    bool dialling = false;
+    Time next_dial;
+    Time next_greeting;
+  };
+
+  void Dial(const VmId& vm, Peer& peer, Time now);
+  void OnDialled(const VmId& vm, const Address& address,
+                 std::shared_ptr<Link> link);
+
+  boost::asio::any_io_executor executor_;
+  std::function<std::string()> greeting_;
+  std::map<VmId, Peer> peers_;
+  bool closed_ = false;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_PEERS_SRC_MEMBER_LINKS_H_
--- a/policy/include/cardamomchute/policy/control_state_view.h
+++ b/policy/include/cardamomchute/policy/control_state_view.h
@@ -28,7 +28,7 @@
 
 /// Takes what is newer; true if anything was. A delta that begins past what
 /// is known here is refused (kInvalidInput): the VM must ask again. An error
-/// of `read` leaves the document that was in force.
+/// of `read` leaves the document that was in force and the revision as it was.
 Result<bool> TakeDelta(ViewRecords& records, const ViewDelta& delta,
                        const ReadDocument& read);
 
--- a/policy/include/cardamomchute/policy/lease.h
+++ b/policy/include/cardamomchute/policy/lease.h
@@ -86,9 +86,10 @@
 
 /// The assignments that are due: owners for groups of dead VMs, released
 /// groups and new ones. `zones` gives the zones of the known endpoints.
-std::vector<AssignOwner> DueAssignments(
-    const LeaseTable& table, const ControlState& state,
-    const std::map<EndpointId, Zone>& zones, Time now);
+std::vector<AssignOwner> DueAssignments(const LeaseTable& table,
+                                        const ControlState& state,
+                                        const std::map<EndpointId, Zone>& zones,
+                                        Time now);
 
 /// VMs to be taken out of the record: dead for long, owners of nothing.
 std::vector<ForgetVm> DueForgets(const LeaseTable& table,
--- a/policy/src/control_state_soft.cc
+++ b/policy/src/control_state_soft.cc
@@ -23,8 +23,7 @@
                     const SoftAnnouncement& announcement, Time now) {
   Duration remaining = std::min(announcement.remaining, kMaxAnnouncementTtl);
   if (remaining <= Duration()) return;
-  SoftState::EndpointEntry& entry =
-      state.endpoints[announcement.endpoint.id];
+  SoftState::EndpointEntry& entry = state.endpoints[announcement.endpoint.id];
   bool same = !entry.removed && entry.environment == environment &&
               entry.endpoint == announcement.endpoint;
   Time expires = now + remaining;
@@ -39,8 +38,8 @@
 void SetVm(SoftState& state, const Environment& environment, const VmId& id,
            SoftVm vm) {
   auto [it, inserted] = state.vms.try_emplace(id);
-  bool same = !inserted && it->second.vm == vm &&
-              it->second.environment == environment;
+  bool same =
+      !inserted && it->second.vm == vm && it->second.environment == environment;
   if (same) return;
   it->second = SoftState::VmEntry{environment, vm, Changed(state)};
 }
--- a/policy/src/control_state_view.cc
+++ b/policy/src/control_state_view.cc
@@ -5,8 +5,7 @@
 
 Status TakeDocument(ViewRecords& records, const StoredDocument& stored,
                     const ReadDocument& read) {
-  bool newer =
-      !records.document || records.document->version < stored.version;
+  bool newer = !records.document || records.document->version < stored.version;
   if (!newer) return Ok();
   if (HashText(stored.text) != stored.hash) {
     return Error{ErrorKind::kCorrupt,
@@ -35,20 +34,20 @@
                        const ReadDocument& read) {
   bool gap = delta.since > records.revision;
   if (gap || delta.environment != records.environment) {
-    return Error{ErrorKind::kInvalidInput,
-                 "changes begin at revision " +
-                     std::to_string(delta.since.value()) + ", known here: " +
-                     std::to_string(records.revision.value()),
-                 "ask for all that changed since the known revision"};
+    return Error{
+        ErrorKind::kInvalidInput,
+        "changes begin at revision " + std::to_string(delta.since.value()) +
+            ", known here: " + std::to_string(records.revision.value()),
+        "ask for all that changed since the known revision"};
   }
   if (delta.revision <= records.revision) return false;
-  if (delta.document) {
-    BOOST_OUTCOME_TRY(TakeDocument(records, *delta.document, read));
-  }
   TakeNewer(records.groups, delta.groups);
   TakeNewer(records.vms, delta.vms);
   std::erase_if(records.vms,
                 [](const auto& item) { return item.second.forgotten; });
+  if (delta.document) {
+    BOOST_OUTCOME_TRY(TakeDocument(records, *delta.document, read));
+  }
   records.revision = delta.revision;
   return true;
 }
--- a/policy/src/lease.cc
+++ b/policy/src/lease.cc
@@ -32,8 +32,7 @@
     const VmRecord* record = Registered(state, id);
     bool fit = record != nullptr && lease.alive && !lease.report.draining &&
                record->incarnation == lease.report.incarnation &&
-               record->environment == environment &&
-               lease.dead_from > Time();
+               record->environment == environment && lease.dead_from > Time();
     if (fit) candidates.push_back(OwnerCandidate{id, record->zone});
   }
   return candidates;
@@ -126,8 +125,8 @@
 std::vector<VmId> ExpireLeases(LeaseTable& table, Time now) {
   std::vector<VmId> expired;
   for (auto& [id, lease] : table.vms) {
-    bool over = lease.alive && lease.dead_from > Time() &&
-                now >= lease.dead_from;
+    bool over =
+        lease.alive && lease.dead_from > Time() && now >= lease.dead_from;
     if (!over) continue;
     lease.alive = false;
     expired.push_back(id);
@@ -141,9 +140,10 @@
   return it == table.vms.end() || now >= it->second.dead_from;
 }
 
-std::vector<AssignOwner> DueAssignments(
-    const LeaseTable& table, const ControlState& state,
-    const std::map<EndpointId, Zone>& zones, Time now) {
+std::vector<AssignOwner> DueAssignments(const LeaseTable& table,
+                                        const ControlState& state,
+                                        const std::map<EndpointId, Zone>& zones,
+                                        Time now) {
   std::vector<AssignOwner> due;
   for (const auto& [environment, record] : state.environments) {
     AssignEnvironment(table, state, environment, zones, now, due);
