--- a/apps/cardamomchuted/node.cc
+++ b/apps/cardamomchuted/node.cc
@@ -44,11 +44,17 @@
 Node::~Node() = default;
 
 Status Node::Start() {
-  if (settings_.member) BOOST_OUTCOME_TRYV(StartMember());
+  if (settings_.member) {
+    BOOST_OUTCOME_TRYV(StartMember());
+  }
   agent_ = std::make_shared<ControlAgent>(control_, AgentSettings(settings_),
                                           ReadDocumentText);
-  if (settings_.peers) BOOST_OUTCOME_TRYV(StartTraffic());
-  if (settings_.http) BOOST_OUTCOME_TRYV(StartHttp());
+  if (settings_.peers) {
+    BOOST_OUTCOME_TRYV(StartTraffic());
+  }
+  if (settings_.http) {
+    BOOST_OUTCOME_TRYV(StartHttp());
+  }
   agent_->Start();
   signals_.async_wait([this](boost::system::error_code error, int signal) {
     if (error) return;
--- a/operators/include/cardamomchute/operators/http_api.h
+++ b/operators/include/cardamomchute/operators/http_api.h
@@ -17,8 +17,6 @@
 
 namespace cardamomchute {
 
-inline constexpr Duration kMinAnnouncementTtl = Millis(200);
-inline constexpr Duration kMaxAnnouncementTtl = Seconds(60);
 
 /// The HTTP status that carries an error of this kind.
 uint32_t HttpStatusOf(ErrorKind kind);
--- a/policy/include/cardamomchute/policy/operations.h
+++ b/policy/include/cardamomchute/policy/operations.h
@@ -82,6 +82,10 @@
       status;
 };
 
+/// Bounds of an announcement's time to live.
+inline constexpr Duration kMinAnnouncementTtl = Millis(200);
+inline constexpr Duration kMaxAnnouncementTtl = Seconds(60);
+
 /// What an endpoint says of itself over HTTP, again within every TTL.
 struct Announcement {
   EndpointState endpoint;
