--- a/policy/src/lease.cc
+++ b/policy/src/lease.cc
@@ -24,6 +24,11 @@
   return knows || IsDead(table, group.revoked_from, now);
 }
 
+/// A VM that others can't reach for statements is a control member only.
+bool TakesStatements(const VmRecord& record) {
+  return record.peer_address.port != 0;
+}
+
 std::vector<OwnerCandidate> Candidates(const LeaseTable& table,
                                        const ControlState& state,
                                        const Environment& environment) {
@@ -32,7 +37,8 @@
     const VmRecord* record = Registered(state, id);
     bool fit = record != nullptr && lease.alive && !lease.report.draining &&
                record->incarnation == lease.report.incarnation &&
-               record->environment == environment && lease.dead_from > Time();
+               record->environment == environment && TakesStatements(*record) &&
+               lease.dead_from > Time();
     if (fit) candidates.push_back(OwnerCandidate{id, record->zone});
   }
   return candidates;
