--- a/policy/include/cardamomchute/policy/quorum.h
+++ b/policy/include/cardamomchute/policy/quorum.h
@@ -226,7 +226,8 @@
 std::optional<Round> StartRound(QuorumState& state);
 
 /// Replaces the entries up to `index`, which is applied, by a snapshot; the
-/// host stores `state.snapshot` and `state.log`.
+/// host stores `state.snapshot` and `state.log`. Does nothing while output waits
+/// to be taken: what is not synced may not go into a snapshot.
 void Compact(QuorumState& state, LogIndex index, std::string bytes);
 
 QuorumOutput TakeOutput(QuorumState& state, Time now);
--- a/policy/src/quorum.cc
+++ b/policy/src/quorum.cc
@@ -518,6 +518,7 @@
 }
 
 void Compact(QuorumState& state, LogIndex index, std::string bytes) {
+  if (!state.output.Empty()) return;
   if (index <= state.snapshot.last_index || index > state.applied) return;
   QuorumSnapshot snapshot;
   snapshot.last_index = index;
--- /dev/null
+++ b/policy/test/quorum-test.cc
@@ -0,0 +1,377 @@
+#include "cardamomchute/policy/quorum.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace cardamomchute {
+namespace {
+
+constexpr Duration kStep = Millis(10);
+
+/// A member's disk: what is synced survives; a crash may tear the last write.
+struct Disk {
+  StoredQuorum synced;
+
+  void Write(const QuorumState& state, const QuorumOutput& output,
+             size_t entries) {
+    if (output.save_vote) synced.vote = state.vote;
+    if (output.install) {
+      synced.snapshot = *output.install;
+      synced.entries.clear();
+    }
+    for (size_t i = 0; i < entries; ++i) Take(output.append[i]);
+  }
+
+  void Take(const LogEntry& entry) {
+    std::vector<LogEntry>& log = synced.entries;
+    while (!log.empty() && log.back().index >= entry.index) log.pop_back();
+    log.push_back(entry);
+  }
+};
+
+struct Node {
+  Disk disk;
+  std::optional<QuorumState> state;  ///< nothing while it is down
+  std::vector<LogEntry> applied;     ///< since the start, from the snapshot on
+  bool lost = false;                 ///< disk lost; never comes back
+};
+
+struct RoundKey {
+  MemberId id;
+  QuorumTerm term;
+  Round round;
+
+  friend auto operator<=>(const RoundKey&, const RoundKey&) = default;
+};
+
+/// Checks the safety properties after each step of a random schedule.
+class Model {
+ public:
+  Model(uint64_t seed, size_t size) : random_(seed) {
+    QuorumConfig config;
+    for (size_t i = 0; i < size; ++i) {
+      config.members[Name(i)] =
+          QuorumMember{VmId(Name(i).value()), Address{}, true};
+    }
+    for (size_t i = 0; i < size; ++i) {
+      Node& node = nodes_[Name(i)];
+      node.disk.synced.snapshot =
+          QuorumSnapshot{LogIndex(1), QuorumTerm(), config, ""};
+      Start(Name(i));
+    }
+  }
+
+  static MemberId Name(size_t i) { return MemberId("m#" + std::to_string(i)); }
+
+  size_t committed() const { return committed_.size(); }
+  size_t confirmed() const { return confirmed_rounds_; }
+  size_t snapshots() const { return snapshots_; }
+  size_t torn() const { return torn_; }
+  size_t config_changes() const { return config_changes_; }
+
+  /// `chaos`: losses, duplicates, delays, crashes and membership changes.
+  void Run(size_t steps, bool chaos) {
+    for (size_t i = 0; i < steps; ++i) {
+      Step(chaos);
+      Check();
+    }
+  }
+
+  /// After the chaos a leader must be found and everybody must agree.
+  bool Heal() {
+    for (auto& [id, node] : nodes_) {
+      if (!node.state && !node.lost) Start(id);
+    }
+    for (size_t i = 0; i < 3000; ++i) {
+      Step(false);
+      Check();
+      if (Converged()) return true;
+    }
+    return false;
+  }
+
+ private:
+  bool OneIn(size_t n) { return random_() % n == 0; }
+
+  MemberId Any() {
+    auto it = nodes_.begin();
+    std::advance(it, random_() % nodes_.size());
+    return it->first;
+  }
+
+  void Start(const MemberId& id) {
+    Node& node = nodes_[id];
+    node.applied.clear();
+    node.state =
+        MakeQuorum(id, node.disk.synced, QuorumTiming(), random_(), now_);
+  }
+
+  void Step(bool chaos) {
+    now_ = now_ + kStep;
+    for (auto& [id, node] : nodes_) {
+      if (node.state) OnTick(*node.state, now_);
+    }
+    for (size_t i = 0; i < 12; ++i) Deliver(chaos);
+    if (OneIn(3)) ProposeSomewhere();
+    if (chaos && OneIn(60)) CrashOrRestart();
+    if (chaos && OneIn(80)) ChangeMembers();
+    if (chaos && OneIn(100)) partition_ = random_();
+    if (chaos && OneIn(100)) partition_ = 0;
+    if (!chaos) partition_ = 0;
+    if (OneIn(5)) StartRoundSomewhere();
+    bool tear = chaos && OneIn(40);
+    MemberId victim = Any();
+    for (auto& [id, node] : nodes_) {
+      if (node.state) Flush(id, node, tear && id == victim);
+    }
+    if (OneIn(50)) CompactSomewhere();
+  }
+
+  bool Parted(const MemberId& a, const MemberId& b) const {
+    if (partition_ == 0) return false;
+    std::hash<MemberId> hash;
+    return ((partition_ >> (hash(a) % 60)) & 1) !=
+           ((partition_ >> (hash(b) % 60)) & 1);
+  }
+
+  void Deliver(bool chaos) {
+    if (network_.empty()) return;
+    size_t pick = chaos ? random_() % network_.size() : 0;
+    QuorumMessage message = network_[pick];
+    bool duplicate = chaos && OneIn(20);
+    if (!duplicate) {
+      network_.erase(network_.begin() + static_cast<ptrdiff_t>(pick));
+    }
+    bool drop = (chaos && OneIn(12)) || Parted(message.from, message.to);
+    if (drop) return;
+    auto it = nodes_.find(message.to);
+    if (it == nodes_.end() || !it->second.state) return;
+    OnMessage(*it->second.state, message, now_);
+  }
+
+  void ProposeSomewhere() {
+    for (auto& [id, node] : nodes_) {
+      if (!node.state) continue;
+      Propose(*node.state, "c" + std::to_string(++commands_));
+    }
+  }
+
+  void CrashOrRestart() {
+    MemberId id = Any();
+    Node& node = nodes_[id];
+    if (node.lost) return;
+    if (node.state) {
+      node.state.reset();
+      return;
+    }
+    Start(id);
+  }
+
+  /// Grows by learners, promotes those that caught up, removes voters.
+  void ChangeMembers() {
+    for (auto& [id, node] : nodes_) {
+      if (!node.state || node.state->role != QuorumRole::kLeader) continue;
+      QuorumConfig config = node.state->config;
+      for (auto& [other, member] : config.members) {
+        if (member.voter || !CaughtUp(*node.state, other, now_)) continue;
+        member.voter = true;
+        if (ProposeConfig(*node.state, config)) ++config_changes_;
+        return;
+      }
+      if (config.members.size() < 5) {
+        MemberId fresh = Name(100 + ++newcomers_);
+        config.members[fresh] =
+            QuorumMember{VmId(fresh.value()), Address{}, false};
+        if (!ProposeConfig(*node.state, config)) return;
+        Start(fresh);
+        ++config_changes_;
+        return;
+      }
+      auto victim = config.members.begin();
+      std::advance(victim, random_() % config.members.size());
+      config.members.erase(victim);
+      if (ProposeConfig(*node.state, config)) ++config_changes_;
+      return;
+    }
+  }
+
+  void CompactSomewhere() {
+    Node& node = nodes_[Any()];
+    if (!node.state) return;
+    LogIndex index = node.state->applied;
+    if (index <= node.state->snapshot.last_index) return;
+    Compact(*node.state, index, std::to_string(index.value()));
+    if (node.state->snapshot.last_index != index) return;
+    node.disk.synced.snapshot = node.state->snapshot;
+    node.disk.synced.entries = node.state->log;
+    ++snapshots_;
+  }
+
+  void StartRoundSomewhere() {
+    for (auto& [id, node] : nodes_) {
+      if (!node.state) continue;
+      std::optional<Round> round = StartRound(*node.state);
+      if (!round) continue;
+      rounds_[RoundKey{id, node.state->vote.term, *round}] = highest_term_;
+    }
+  }
+
+  void Flush(const MemberId& id, Node& node, bool tear) {
+    while (node.state) {
+      QuorumOutput output = TakeOutput(*node.state, now_);
+      if (output.Empty()) return;
+      bool writes =
+          output.save_vote || output.install || !output.append.empty();
+      if (tear && writes) {
+        Tear(node, output);
+        return;
+      }
+      node.disk.Write(*node.state, output, output.append.size());
+      LogIndex last = LastIndex(*node.state);
+      OnPersisted(*node.state, last, *TermAt(*node.state, last), now_);
+      for (QuorumMessage& message : output.messages) {
+        network_.push_back(std::move(message));
+      }
+      for (const LogEntry& entry : output.apply) Applied(entry);
+      CheckRound(id, *node.state, output);
+    }
+  }
+
+  /// A crash in the middle of a write: nothing was sent, a part is on disk.
+  void Tear(Node& node, const QuorumOutput& output) {
+    ++torn_;
+    bool vote_written = OneIn(2);
+    if (vote_written && !output.install) {
+      size_t part =
+          output.append.empty() ? 0 : random_() % output.append.size();
+      node.disk.Write(*node.state, output, part);
+    } else if (vote_written && output.save_vote) {
+      node.disk.synced.vote = node.state->vote;
+    }
+    node.state.reset();
+  }
+
+  /// Committed entries are the same everywhere and never change.
+  void Applied(const LogEntry& entry) {
+    auto [it, inserted] = committed_.try_emplace(entry.index, entry);
+    BOOST_REQUIRE_MESSAGE(it->second == entry,
+                          "two entries committed at " << entry.index);
+  }
+
+  /// A confirmed round proves that no later leader had been elected when it
+  /// was started.
+  void CheckRound(const MemberId& id, const QuorumState& state,
+                  const QuorumOutput& output) {
+    if (output.confirmed == Round()) return;
+    QuorumTerm term = state.vote.term;
+    auto it = rounds_.lower_bound(RoundKey{id, term, Round()});
+    while (it != rounds_.end() && it->first.id == id &&
+           it->first.term == term && it->first.round <= output.confirmed) {
+      BOOST_REQUIRE_MESSAGE(it->second <= term,
+                            "a replaced leader confirmed a round");
+      ++confirmed_rounds_;
+      it = rounds_.erase(it);
+    }
+  }
+
+  void Check() {
+    for (auto& [id, node] : nodes_) {
+      if (!node.state) continue;
+      CheckLeader(id, *node.state);
+      CheckLog(*node.state);
+    }
+  }
+
+  void CheckLeader(const MemberId& id, const QuorumState& state) {
+    if (state.role != QuorumRole::kLeader) return;
+    auto [it, inserted] = leaders_.try_emplace(state.vote.term, id);
+    BOOST_REQUIRE_MESSAGE(it->second == id,
+                          "two leaders in term " << state.vote.term);
+    highest_term_ = std::max(highest_term_, state.vote.term);
+    if (!inserted) return;
+    // A new leader holds all that was committed.
+    for (const auto& [index, entry] : committed_) {
+      if (index <= state.snapshot.last_index) continue;
+      BOOST_REQUIRE_MESSAGE(TermAt(state, index) == entry.term,
+                            "committed entry " << index << " lost");
+    }
+  }
+
+  void CheckLog(const QuorumState& state) {
+    BOOST_REQUIRE(state.commit <= LastIndex(state));
+    for (const LogEntry& entry : state.log) {
+      if (entry.index > state.commit) break;
+      auto it = committed_.find(entry.index);
+      if (it == committed_.end()) continue;
+      BOOST_REQUIRE_MESSAGE(it->second == entry,
+                            "log differs from what was committed");
+    }
+  }
+
+  bool Converged() const {
+    const QuorumState* leader = nullptr;
+    for (const auto& [id, node] : nodes_) {
+      if (node.state && node.state->role == QuorumRole::kLeader &&
+          (leader == nullptr || node.state->vote.term > leader->vote.term)) {
+        leader = &*node.state;
+      }
+    }
+    if (leader == nullptr || leader->vote.term < highest_term_) return false;
+    if (TermAt(*leader, leader->commit) != leader->vote.term) return false;
+    for (const auto& [id, member] : leader->config.members) {
+      const Node& node = nodes_.at(id);
+      bool close = node.state &&
+                   node.state->commit.value() + 20 >= leader->commit.value();
+      if (!close) return false;
+    }
+    return true;
+  }
+
+  std::mt19937_64 random_;
+  Time now_{1000};
+  std::map<MemberId, Node> nodes_;
+  std::vector<QuorumMessage> network_;
+  std::map<LogIndex, LogEntry> committed_;
+  std::map<QuorumTerm, MemberId> leaders_;
+  std::map<RoundKey, QuorumTerm> rounds_;
+  QuorumTerm highest_term_;
+  uint64_t partition_ = 0;
+  uint64_t commands_ = 0;
+  size_t newcomers_ = 0;
+  size_t confirmed_rounds_ = 0;
+  size_t snapshots_ = 0;
+  size_t torn_ = 0;
+  size_t config_changes_ = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(quorum)
+
+BOOST_AUTO_TEST_CASE(random_schedules_keep_the_log_safe) {
+  size_t committed = 0;
+  size_t confirmed = 0;
+  size_t torn = 0;
+  size_t changes = 0;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Model model(seed, seed % 3 == 0 ? 5 : 3);
+      model.Run(2000, true);
+      BOOST_REQUIRE_MESSAGE(model.Heal(), "no agreement after the faults");
+      committed += model.committed();
+      confirmed += model.confirmed();
+      torn += model.torn();
+      changes += model.config_changes();
+    }
+  }
+  BOOST_TEST_MESSAGE("committed=" << committed << " confirmed=" << confirmed
+                                  << " torn=" << torn
+                                  << " config_changes=" << changes);
+  BOOST_TEST(committed > 10000u);
+  BOOST_TEST(confirmed > 10000u);
+  BOOST_TEST(torn > 300u);
+  BOOST_TEST(changes > 300u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomchute
