Keep equal statements under different names apart; bound all input

Two names for one text in a batch were one name on the connection, and a Close took a statement that other sessions share. All callers' unfinished input together stays within 256 MB.

--- a/callers/src/batch_plan.cc
+++ b/callers/src/batch_plan.cc
@@ -14,6 +14,9 @@
 /// endpoint's syntax error fails the batch as a whole.
 constexpr std::string_view kFailingText = "cardamomchute: not supported";
 
+/// A name that no statement has.
+constexpr std::string_view kNoStatement = "cc_none";
+
 bool IsLocalKind(SqlKind kind, bool in_block) {
   switch (kind) {
     case SqlKind::kProductSet:
@@ -110,19 +113,29 @@
   }
 
   /// What the batch itself calls the statement. The owner looks for names that
-  /// a connection has already in the first piece of a batch only; beyond it, a
-  /// name must be one that no connection has.
+  /// a connection has already in the first piece of a batch only; beyond it, or
+  /// when the batch has the same content under another name, the name must be
+  /// one that no connection has.
   std::string BatchName(const NamedStatement& statement) const {
     if (statement.name.empty()) return "";
     bool first_piece = context_.earlier == nullptr &&
                        plan_.bytes.size() + statement.parse_message.size() <=
                            kChannelChunkBytes;
-    if (first_piece) return statement.shared_name;
+    bool taken =
+        IsCarried(statement.parse_message) || IsParsedAs(statement.shared_name);
+    if (first_piece && !taken) return statement.shared_name;
     return statement.shared_name + "_" + std::to_string(context_.session_tag) +
            "_" + std::to_string(context_.batch_number) + "_" +
            std::to_string(plan_.parsed.size());
   }
 
+  bool IsParsedAs(std::string_view batch_name) const {
+    auto is_it = [&](const NamedStatement& parsed) {
+      return parsed.batch_name == batch_name;
+    };
+    return std::any_of(plan_.parsed.begin(), plan_.parsed.end(), is_it);
+  }
+
   static std::string ParseMessage(std::string_view name, std::string_view sql,
                                   std::string_view types) {
     return pgwire::Builder()
@@ -187,7 +200,10 @@
       plan_.bytes.append(message.whole);
       return;
     }
-    AppendNamed('C', SharedName(name, Find(name)));
+    // Other sessions share what an earlier batch parsed. Closing what is not
+    // there is no error.
+    const NamedStatement* parsed = FindParsed(name);
+    AppendNamed('C', parsed == nullptr ? kNoStatement : parsed->batch_name);
     plan_.closed.emplace_back(name);
   }
 
@@ -281,7 +297,8 @@
     if (parsed != nullptr) return {parsed, true};
     if (IsClosed(name)) return {};
     const NamedStatement* kept = FindNamed(*context_.session, name);
-    if (kept != nullptr) Carry(kept->parse_message);
+    bool carry = kept != nullptr && !IsParsedAs(kept->shared_name);
+    if (carry) Carry(kept->parse_message);
     return {kept, false};
   }
 
@@ -310,10 +327,13 @@
            FindNamed(*context_.session, name) != nullptr;
   }
 
+  bool IsCarried(const std::string& parse_message) const {
+    return std::find(plan_.prepared.begin(), plan_.prepared.end(),
+                     parse_message) != plan_.prepared.end();
+  }
+
   void Carry(const std::string& parse_message) {
-    bool carried = std::find(plan_.prepared.begin(), plan_.prepared.end(),
-                             parse_message) != plan_.prepared.end();
-    if (!carried) plan_.prepared.push_back(parse_message);
+    if (!IsCarried(parse_message)) plan_.prepared.push_back(parse_message);
   }
 
   /// What connections call the statement. A name the session doesn't know
--- a/callers/src/caller_connection.cc
+++ b/callers/src/caller_connection.cc
@@ -22,6 +22,9 @@
 constexpr Duration kLingerTimeout = Seconds(2);
 /// SSLRequest and GSSENCRequest, each at most this often.
 constexpr uint8_t kMaxNegotiations = 4;
+/// What all callers' unfinished input may take, and what counts as large.
+constexpr size_t kMaxInputBytes = 256 * 1024 * 1024;
+constexpr size_t kLargeInputBytes = 1024 * 1024;
 constexpr size_t kKeepAliveIdleSeconds = 60;
 constexpr size_t kKeepAliveIntervalSeconds = 10;
 constexpr size_t kKeepAliveProbes = 3;
@@ -133,6 +136,28 @@
   }
   using_ = false;
   if (in_.empty()) std::string().swap(in_);
+  CountInput();
+}
+
+/// Keeps the input of all callers together within bounds, at the expense of
+/// one that holds much of it.
+void CallerConnection::CountInput() {
+  size_t now = in_.size() + (session_ ? session_->waiting_bytes() : 0);
+  if (phase_ == Phase::kClosed) now = 0;
+  size_t before = std::exchange(counted_input_, now);
+  if (now == before) return;
+  size_t all = thread_->server->input += now - before;
+  bool too_much = now > before && now >= kLargeInputBytes &&
+                  all > kMaxInputBytes && phase_ == Phase::kServing;
+  if (!too_much) return;
+  LogLine(LogLevel::kWarn, "caller_refused")
+      .Field("reason", "input of all callers is above its limit")
+      .Field("bytes", now);
+  Write(pgwire::ErrorResponse(
+      FatalReport("53200", "this VM holds too much unfinished input",
+                  "send smaller statements, or try again later")));
+  std::string().swap(in_);
+  Finish();
 }
 
 size_t CallerConnection::Use(std::string_view bytes) {
@@ -309,6 +334,7 @@
   }
   if (session_) session_->OnWritten(count);
   if (phase_ == Phase::kServing && !in_.empty()) Take("");
+  CountInput();
   WaitToRead();
   FinishIfWritten();
 }
@@ -350,6 +376,7 @@
   boost::system::error_code ignored;
   socket_.close(ignored);
   thread_->connections.erase(self);
+  CountInput();
   if (!admitted_) return;
   thread_->server->cancels.Remove(cancel_key_);
   --thread_->server->admitted;
--- a/callers/src/caller_connection.h
+++ b/callers/src/caller_connection.h
@@ -35,6 +35,7 @@
   Gauge* callers_gauge;
   std::atomic<size_t> admitted{0};  ///< callers past their startup
   std::atomic<size_t> sockets{0};   ///< all connections
+  std::atomic<size_t> input{0};     ///< bytes of input that wait, of all
   std::atomic<bool> draining{false};
 };
 
@@ -75,6 +76,7 @@
   void Admit(AdmittedCaller admitted);
   void RefuseStartup(const pgwire::Report& report);
   void OnBrokenProtocol(const Error& error);
+  void CountInput();
 
   void Write(std::string_view bytes);
   void WriteSoon();
@@ -90,6 +92,7 @@
   std::string in_;   ///< an unfinished message, and what may not be used yet
   std::string out_;  ///< not yet written
   size_t out_at_ = 0;
+  size_t counted_input_ = 0;
   CancelKey cancel_key_;
   Phase phase_ = Phase::kStartup;
   uint8_t negotiations_ = 0;
--- a/callers/src/caller_session.cc
+++ b/callers/src/caller_session.cc
@@ -19,6 +19,7 @@
 constexpr size_t kMaxRepeatableBytes = 256 * 1024;
 /// The longest unnamed statement that is kept beyond its batch.
 constexpr size_t kMaxUnnamedBytes = 16 * 1024;
+constexpr Duration kRollbackDeadline = Seconds(30);
 constexpr Duration kFirstBackoff = Millis(5);
 constexpr Duration kMaxBackoff = Millis(160);
 
@@ -96,8 +97,12 @@
 }
 
 void CallerSession::Start(Batch batch) {
+  ViewPtr view = parts_->view();
+  if (!view || !view->document) {
+    return Refuse(NotRunReport("this VM has no document"));
+  }
   bool between_blocks = status() == 'I';
-  if (between_blocks && !RefreshGrant()) return;
+  if (between_blocks && !RefreshGrant(*view)) return;
   PlanContext context{&state_, owner_status_ != 'I', grant_.writes,
                       session_tag_, ++batches_};
   BatchPlan plan = PlanBatch(batch.bytes, context);
@@ -105,7 +110,7 @@
   if (owner_status_ == 'E' && !plan.steps.empty()) plan.local = false;
   if (block_lost_) return RefuseInLostBlock(batch, plan);
   if (plan.refusal) return Refuse(*plan.refusal);
-  if (!plan.local) return Send(std::move(batch), std::move(plan));
+  if (!plan.local) return Send(std::move(batch), std::move(plan), *view);
   if (batch.complete) return AnswerAlone(batch, plan);
   Refuse(MakeReport("0A000", "this statement can't be flushed before Sync",
                     "send Sync after it"));
@@ -113,12 +118,10 @@
 
 /// Looks whether a newer document still lets the caller in; false: it does
 /// not, and the caller has been told.
-bool CallerSession::RefreshGrant() {
-  ViewPtr view = parts_->view();
-  if (!view || !view->document) return true;
-  if (view->document->version == grant_version_) return true;
-  grant_version_ = view->document->version;
-  Result<Grant> grant = FindGrant(view->document->document, caller_);
+bool CallerSession::RefreshGrant(const ClusterView& view) {
+  if (view.document->version == grant_version_) return true;
+  grant_version_ = view.document->version;
+  Result<Grant> grant = FindGrant(view.document->document, caller_);
   if (grant.has_error()) {
     links_.write(pgwire::ErrorResponse(AccessReport(grant.error())));
     Close();
@@ -278,7 +281,6 @@
   statement.kind = static_cast<uint8_t>(plan.kind);
   statement.rank = EffectiveRank(grant_, options_);
   statement.max_staleness = EffectiveStaleness(grant_, options_);
-  statement.deadline = StatementDeadline(statement.rank);
   bool may_carry_key = plan.writes_data || owner_status_ != 'I';
   if (may_carry_key) statement.operation_key = options_.operation_key;
   statement.setup = Setup(state_);
@@ -292,21 +294,20 @@
   return statement;
 }
 
-Duration CallerSession::StatementDeadline(Rank rank) const {
-  ViewPtr view = parts_->view();
-  if (!view || !view->document) return Seconds(30);
-  const Document& document = view->document->document;
+Duration CallerSession::StatementDeadline(const Document& document, Rank rank) {
   Duration limit = document.limits.statement_timeout;
   if (rank.value() >= document.ranks.size()) return limit;
   Duration target = document.ranks[rank.value()].target;
   return target > Duration() ? target : limit;
 }
 
-void CallerSession::Send(Batch batch, BatchPlan plan) {
+void CallerSession::Send(Batch batch, BatchPlan plan, const ClusterView& view) {
   under_way_ = std::make_unique<UnderWay>();
   under_way_->started = Now();
   under_way_->in_block = owner_status_ != 'I';
   under_way_->statement = MakeStatement(plan);
+  under_way_->statement.deadline =
+      StatementDeadline(view.document->document, under_way_->statement.rank);
   under_way_->statement.bytes = std::move(plan.bytes);
   under_way_->statement.complete = batch.complete;
   if (!batch.complete) plan.kind = StatementKind::kWrite;
@@ -383,6 +384,7 @@
   under_way_->hidden = true;
   under_way_->started = Now();
   under_way_->statement = MakeStatement(BatchPlan());
+  under_way_->statement.deadline = kRollbackDeadline;
   under_way_->statement.bytes = pgwire::Query("ROLLBACK");
   SendStatement();
 }
--- a/callers/src/caller_session.h
+++ b/callers/src/caller_session.h
@@ -64,6 +64,11 @@
   /// The caller is gone.
   void Close();
 
+  /// Bytes of the caller's batches that wait.
+  size_t waiting_bytes() const {
+    return queue_.waiting_bytes + queue_.tail.bytes.size();
+  }
+
   /// Nothing runs, waits, or is open.
   bool idle() const;
 
@@ -89,8 +94,8 @@
   bool CanStart() const;
   void Start(Batch batch);
   void Continue();
-  bool RefreshGrant();
-  void Send(Batch batch, BatchPlan plan);
+  bool RefreshGrant(const ClusterView& view);
+  void Send(Batch batch, BatchPlan plan, const ClusterView& view);
   void Answer(std::string_view bytes, char transaction_status);
   void Refuse(const pgwire::Report& report);
   void RefuseInLostBlock(const Batch& batch, const BatchPlan& plan);
@@ -107,7 +112,7 @@
 
   // Towards the owner.
   Statement MakeStatement(const BatchPlan& plan);
-  Duration StatementDeadline(Rank rank) const;
+  static Duration StatementDeadline(const Document& document, Rank rank);
   void OpenChannelIfNeeded();
   void DropChannel();
   void ForgetChannel();
--- a/callers/test/batch_plan-test.cc
+++ b/callers/test/batch_plan-test.cc
@@ -128,6 +128,27 @@
   BOOST_TEST(plan.parsed[1].parse_message == Parse(shared, "select 1"));
 }
 
+/// Two names for one content must not be one name on the connection.
+BOOST_AUTO_TEST_CASE(equal_contents_in_one_batch_stay_apart) {
+  BatchPlan plan = Plan(Parse("a", "select 1") + Parse("b", "select 1") +
+                        Close("a") + Bind("", "b") + Sync());
+  BOOST_TEST(plan.parsed[0].shared_name == plan.parsed[1].shared_name);
+  BOOST_TEST(plan.parsed[0].batch_name != plan.parsed[1].batch_name);
+  SessionState session;
+  KeepNamed(plan.parsed[0], &session);
+  std::string shared = session.named[0].shared_name;
+  BatchPlan mixed =
+      Plan(Bind("", "a") + Parse("c", "select 1") + Sync(), session);
+  BOOST_TEST(mixed.prepared.size() == 1u);
+  BOOST_TEST(mixed.parsed[0].batch_name != shared);
+  BatchPlan later =
+      Plan(Parse("c", "select 1") + Bind("", "a") + Sync(), session);
+  BOOST_TEST(later.prepared.empty());
+  // Closing must not take a shared statement from other sessions.
+  BatchPlan closing = Plan(Close("a") + Extended("select 2") + Sync(), session);
+  BOOST_TEST(closing.bytes.find(shared) == std::string::npos);
+}
+
 /// Another session's statement must not be reached by guessing its name.
 BOOST_AUTO_TEST_CASE(unknown_names_reach_nothing_shared) {
   BatchPlan plan = Plan(Bind("", "cc_0123456789abcdef") + Sync());
