--- a/policy/src/classify_tokens.cc
+++ b/policy/src/classify_tokens.cc
@@ -25,6 +25,8 @@
   explicit Scanner(std::string_view sql) : sql_(sql) {}
 
   TokenList Scan() {
+    constexpr size_t kUsualTokens = 32;
+    list_.tokens.reserve(kUsualTokens);
     while (at_ < sql_.size() && list_.certain) Next();
     return std::move(list_);
   }
@@ -86,18 +88,26 @@
   }
 
   /// A backslash in a plain string escapes or not, by a server setting.
-  void String() {
+  void String() { Quoted('\'', TokenKind::kString); }
+
+  /// A backslash may belong to U&"...", which spells other characters.
+  void QuotedName() { Quoted('"', TokenKind::kQuotedName); }
+
+  /// Text between two quotes, in which a doubled quote stands for one.
+  void Quoted(char quote, TokenKind kind) {
     size_t begin = at_++;
     std::string text;
-    for (; at_ < sql_.size(); ++at_) {
-      if (Peek() == '\\') return Fail();
-      if (Peek() == '\'' && Peek(1) != '\'') {
-        return Add(TokenKind::kString, begin, std::move(text), at_ + 1);
-      }
-      if (Peek() == '\'') ++at_;
-      text.push_back(Peek());
+    while (true) {
+      size_t stop = sql_.find(quote, at_);
+      if (stop == std::string_view::npos) return Fail();
+      std::string_view piece = sql_.substr(at_, stop - at_);
+      if (piece.find('\\') != std::string_view::npos) return Fail();
+      text.append(piece);
+      at_ = stop + 1;
+      if (Peek() != quote) return Add(kind, begin, std::move(text), at_);
+      text.push_back(quote);
+      ++at_;
     }
-    Fail();
   }
 
   void EscapeString(size_t begin) {
@@ -113,21 +123,6 @@
     Fail();
   }
 
-  /// A backslash may belong to U&"...", which spells other characters.
-  void QuotedName() {
-    size_t begin = at_++;
-    std::string text;
-    for (; at_ < sql_.size(); ++at_) {
-      if (Peek() == '\\') return Fail();
-      if (Peek() == '"' && Peek(1) != '"') {
-        return Add(TokenKind::kQuotedName, begin, std::move(text), at_ + 1);
-      }
-      if (Peek() == '"') ++at_;
-      text.push_back(Peek());
-    }
-    Fail();
-  }
-
   void Dollar() {
     if (IsDigit(Peek(1))) {
       size_t begin = at_++;
