Greet on both sides of a mesh link

Cause: a link limits its first frame to the size of a hello, but only the dialing side sent one; an answer above 4 KiB as the first frame back lost the link, and the statement ended as refused after its deadline. Seen with a 100 MB result through an entry that is not the owner. The test fails before and passes after.

--- a/peers/src/channel_mesh.cc
+++ b/peers/src/channel_mesh.cc
@@ -198,6 +198,8 @@
       [self, peer](const std::string& reason) {
         self->OnAdoptedLost(peer, reason);
       });
+  peer->link->Send(FrameType::kHello,
+                   Pack(MeshHello{kMeshProtocol, parts_.vm}));
 }
 
 void ChannelMesh::OnAdoptedFrame(const std::shared_ptr<Adopted>& peer,
--- a/peers/test/channel_mesh-test.cc
+++ b/peers/test/channel_mesh-test.cc
@@ -81,6 +81,25 @@
   BOOST_TEST(answer == "hello");
 }
 
+BOOST_AUTO_TEST_CASE(the_first_answer_of_a_link_may_be_large) {
+  TwoVms vms(Echo);
+  size_t answered = 0;
+  bool reset = false;
+  ToOwnerSink to_owner =
+      vms.near->Open(vms.far_address, OpenChannel{}, [&](FromOwner message) {
+        if (AnswerData* data = std::get_if<AnswerData>(&message)) {
+          answered += data->bytes.size();
+        }
+        reset = std::holds_alternative<ChannelReset>(message);
+        bool over = reset || std::holds_alternative<StatementEnd>(message);
+        if (over) vms.io.stop();
+      });
+  to_owner(Numbered(1, std::string(10 * kMaxHelloBytes, 'x')));
+  vms.io.run_for(kGiveUp);
+  BOOST_TEST(!reset);
+  BOOST_TEST(answered == 10 * kMaxHelloBytes);
+}
+
 BOOST_AUTO_TEST_CASE(channels_of_one_link_do_not_mix) {
   TwoVms vms(Echo);
   std::map<int, std::string> answers;
