--- /dev/null
+++ b/sites/bench/site.sh
@@ -0,0 +1,10 @@
+# One group of one member that costs nothing, to measure the proxy itself.
+site_environment=production
+site_zones=(bench-a)
+site_groups=(bench1)
+site_members=1
+site_slots=256
+site_connections=300
+site_connect_ms=0
+site_service_us=0
+site_lag_ms=0
