--- a/policy/include/cardamomchute/policy/quorum.h
+++ b/policy/include/cardamomchute/policy/quorum.h
@@ -44,6 +44,7 @@
   Duration snapshot_retry = Seconds(2);
 };
 
+/// Commands that go into one AppendRequest, a last one that exceeds included.
 inline constexpr size_t kMaxAppendBytes = 1024 * 1024;
 
 struct QuorumMember {
@@ -181,6 +182,7 @@
 struct QuorumState {
   MemberId self;
   QuorumTiming timing;
+  size_t max_append_bytes = kMaxAppendBytes;
   uint64_t random = 1;
 
   TermAndVote vote;
@@ -226,8 +228,8 @@
 std::optional<Round> StartRound(QuorumState& state);
 
 /// Replaces the entries up to `index`, which is applied, by a snapshot; the
-/// host stores `state.snapshot` and `state.log`. Does nothing while output waits
-/// to be taken: what is not synced may not go into a snapshot.
+/// host stores `state.snapshot` and `state.log`. Does nothing while output
+/// waits to be taken: what is not synced may not go into a snapshot.
 void Compact(QuorumState& state, LogIndex index, std::string bytes);
 
 QuorumOutput TakeOutput(QuorumState& state, Time now);
--- a/policy/src/control_state.cc
+++ b/policy/src/control_state.cc
@@ -57,7 +57,7 @@
 
 Error StaleVersion(const Environment& environment,
                    const EnvironmentRecord& record, Version replaces) {
-  std::string name = environment.value();
+  const std::string& name = environment.value();
   if (record.history.empty()) {
     return Conflict(name + " has no document yet, but version " +
                         std::to_string(replaces.value()) +
--- a/policy/src/quorum.cc
+++ b/policy/src/quorum.cc
@@ -366,7 +366,8 @@
   request.round = state.round;
   size_t bytes = 0;
   size_t offset = OffsetAfter(state, request.previous_index);
-  for (; offset < state.log.size() && bytes < kMaxAppendBytes; ++offset) {
+  for (; offset < state.log.size() && bytes < state.max_append_bytes;
+       ++offset) {
     bytes += state.log[offset].command.size();
     request.entries.push_back(state.log[offset]);
   }
--- a/policy/test/quorum-test.cc
+++ b/policy/test/quorum-test.cc
@@ -34,6 +34,7 @@
 struct Node {
   Disk disk;
   std::optional<QuorumState> state;  ///< nothing while it is down
+  Time paused_until;                 ///< gets no processor time before
   std::vector<LogEntry> applied;     ///< since the start, from the snapshot on
 };
 
@@ -87,6 +88,7 @@
   /// After the chaos a leader must be found and everybody must agree.
   bool Heal() {
     for (auto& [id, node] : nodes_) {
+      node.paused_until = Time();
       if (!node.state) Start(id);
     }
     for (size_t i = 0; i < 3000; ++i) {
@@ -100,6 +102,19 @@
  private:
   bool OneIn(size_t n) { return random_() % n == 0; }
 
+  bool Runs(const Node& node) const {
+    return node.state && now_ >= node.paused_until;
+  }
+
+  /// As under SIGSTOP; the leader more often than others.
+  void PauseSomebody() {
+    Time until = now_ + kStep * static_cast<int64_t>(random_() % 40);
+    for (auto& [id, node] : nodes_) {
+      bool leads = node.state && node.state->role == QuorumRole::kLeader;
+      if (leads ? OneIn(2) : OneIn(8)) node.paused_until = until;
+    }
+  }
+
   MemberId Any() {
     auto it = nodes_.begin();
     std::advance(it, random_() % nodes_.size());
@@ -115,10 +130,13 @@
 
   void Step(bool chaos) {
     now_ = now_ + kStep;
+    if (chaos && OneIn(10)) PauseSomebody();
     for (auto& [id, node] : nodes_) {
-      if (node.state) OnTick(*node.state, now_);
+      // Ticks come late at times: messages are then handled before them.
+      bool late = chaos && OneIn(4);
+      if (Runs(node) && !late) OnTick(*node.state, now_);
     }
-    size_t deliveries = chaos ? random_() % 14 : 24;
+    size_t deliveries = chaos ? random_() % 24 : 24;
     for (size_t i = 0; i < deliveries; ++i) Deliver(chaos);
     if (OneIn(3)) ProposeSomewhere();
     if (chaos && OneIn(2)) CrashOrRestart();
@@ -130,7 +148,7 @@
     bool tear = chaos && OneIn(15);
     MemberId victim = Any();
     for (auto& [id, node] : nodes_) {
-      if (node.state) Flush(id, node, tear && id == victim);
+      if (Runs(node)) Flush(id, node, tear && id == victim);
     }
     if (OneIn(50)) CompactSomewhere();
   }
@@ -154,12 +172,17 @@
     if (drop) return;
     auto it = nodes_.find(message.to);
     if (it == nodes_.end() || !it->second.state) return;
+    if (!Runs(it->second)) {
+      // Waits in the socket of the paused member.
+      network_.push_back(std::move(message));
+      return;
+    }
     OnMessage(*it->second.state, message, now_);
   }
 
   void ProposeSomewhere() {
     for (auto& [id, node] : nodes_) {
-      if (!node.state) continue;
+      if (!Runs(node)) continue;
       Propose(*node.state, "c" + std::to_string(++commands_));
     }
   }
@@ -174,7 +197,7 @@
   /// Grows by learners, promotes those that caught up, removes voters.
   void ChangeMembers() {
     for (auto& [id, node] : nodes_) {
-      if (!node.state || node.state->role != QuorumRole::kLeader) continue;
+      if (!Runs(node) || node.state->role != QuorumRole::kLeader) continue;
       QuorumConfig config = node.state->config;
       if (OneIn(4)) return ProposeTwoChanges(*node.state, config);
       for (auto& [other, member] : config.members) {
@@ -224,7 +247,7 @@
 
   void StartRoundSomewhere() {
     for (auto& [id, node] : nodes_) {
-      if (!node.state) continue;
+      if (!Runs(node)) continue;
       std::optional<Round> round = StartRound(*node.state);
       if (!round) continue;
       LogIndex newest =
@@ -371,7 +394,7 @@
   size_t confirmed = 0;
   size_t torn = 0;
   size_t changes = 0;
-  for (uint64_t seed = 1; seed <= 300; ++seed) {
+  for (uint64_t seed = 1; seed <= 1500; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       Model model(seed, seed % 3 == 0 ? 5 : 3);
       model.Run(1500, true);
