--- a/tests/client.cc
+++ b/tests/client.cc
@@ -12,6 +12,8 @@
   info += " connect_timeout=10 port=" + std::to_string(port);
   info += " user=" + user + " dbname=" + database + " " + options;
   connection_.reset(PQconnectdb(info.c_str()));
+  PQsetNoticeReceiver(
+      connection_.get(), [](void*, const PGresult*) {}, nullptr);
 }
 
 bool Client::connected() const {
--- a/tests/client.h
+++ b/tests/client.h
@@ -2,7 +2,7 @@
 #ifndef CARDAMOMCHUTE_TESTS_CLIENT_H_
 #define CARDAMOMCHUTE_TESTS_CLIENT_H_
 
-#include <libpq-fe.h>
+#include <postgresql/libpq-fe.h>
 
 #include <cstdint>
 #include <memory>
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -14,6 +14,8 @@
 
 constexpr Duration kHttpTimeout = Seconds(5);
 constexpr int kSlots = 4;
+/// A member's replication port less its PostgreSQL port.
+constexpr int kReplicationOffset = 7;
 
 void Pause() { std::this_thread::sleep_for(std::chrono::milliseconds(50)); }
 
@@ -69,10 +71,10 @@
   for (int i = 0; i < shape.endpoints; ++i) {
     EndpointProcess endpoint;
     endpoint.id = "db-" + std::to_string(i + 1);
-    endpoint.port = FreePort();
-    endpoint.proxy_port = FreePort();
+    endpoint.port = FreePort(kReplicationOffset);
+    endpoint.proxy_port = FreePort(kReplicationOffset);
     endpoint.admin_port = FreePort();
-    endpoint.route = i;
+    endpoint.route = 2 * i;
     endpoints.push_back(std::move(endpoint));
   }
   WriteSettings();
@@ -132,6 +134,9 @@
   for (const EndpointProcess& endpoint : endpoints) {
     args.push_back("--route");
     args.push_back(Local(endpoint.proxy_port) + "=" + Local(endpoint.port));
+    args.push_back("--route");
+    args.push_back(Local(endpoint.proxy_port + kReplicationOffset) + "=" +
+                   Local(endpoint.port + kReplicationOffset));
   }
   proxy_ = std::make_unique<Process>("cardamomchute-faultproxy", args,
                                      folder_ + "/faultproxy.log");
@@ -155,6 +160,8 @@
                      Local(endpoint.port),
                      "--announce-address",
                      Local(endpoint.proxy_port),
+                     "--repl-offset",
+                     std::to_string(kReplicationOffset),
                      "--admin",
                      Local(endpoint.admin_port),
                      "--slots",
@@ -175,7 +182,8 @@
     }
     if (index++ > 0) {
       endpoint.args.push_back("--primary");
-      endpoint.args.push_back(Local(endpoints[0].port));
+      endpoint.args.push_back(
+          Local(endpoints[0].proxy_port + kReplicationOffset));
     }
     StartEndpoint(endpoint);
   }
@@ -226,7 +234,7 @@
     RunOutcome status = Cli({"status", "--environment", "production"});
     nlohmann::json json = nlohmann::json::parse(status.output, nullptr, false);
     if (json.is_object()) {
-      for (const nlohmann::json& entry : json["groups"]) {
+      for (const nlohmann::json& entry : json["view"]["groups"]) {
         bool found = entry.value("id", "") == group;
         if (found && !entry.value(field, "").empty()) return entry[field];
       }
--- a/tests/process.cc
+++ b/tests/process.cc
@@ -20,14 +20,25 @@
 
 }  // namespace
 
-uint16_t FreePort() {
+uint16_t FreePort(int offset) {
   static std::set<uint16_t> given;
+  using Acceptor = boost::asio::ip::tcp::acceptor;
   boost::asio::io_context io;
+  boost::asio::ip::address loopback = boost::asio::ip::address_v4::loopback();
   while (true) {
-    boost::asio::ip::tcp::acceptor acceptor(
-        io, {boost::asio::ip::address_v4::loopback(), 0});
+    Acceptor acceptor(io, {loopback, 0});
     uint16_t port = acceptor.local_endpoint().port();
-    if (given.insert(port).second) return port;
+    uint16_t other = static_cast<uint16_t>(port + offset);
+    if (given.count(port) + given.count(other) > 0) continue;
+    boost::system::error_code taken;
+    if (offset != 0) {
+      Acceptor second(io);
+      second.open(boost::asio::ip::tcp::v4());
+      second.bind({loopback, other}, taken);
+    }
+    if (taken) continue;
+    given.insert({port, other});
+    return port;
   }
 }
 
--- a/tests/process.h
+++ b/tests/process.h
@@ -9,8 +9,8 @@
 
 namespace cardamomchute::testing {
 
-/// A port that was free a moment ago.
-uint16_t FreePort();
+/// A port that was free a moment ago, as was the one `offset` above it.
+uint16_t FreePort(int offset = 0);
 
 /// Runs `program` from the build's own folder; its output goes to `log`.
 /// Ends with SIGKILL when the object goes.
--- a/tools/standin/main/standin_main.cc
+++ b/tools/standin/main/standin_main.cc
@@ -85,6 +85,13 @@
   TCLAP::MultiArg<std::string> announce{
       "",    "announce",         "HTTP address of an entry VM",
       false, "http://host:port", line};
+  Text announce_address{"",
+                        "announce-address",
+                        "the address it announces, when that is not --listen",
+                        false,
+                        "",
+                        "host:port",
+                        line};
   Text log_level{"",    "log-level", "debug, info, warn or error",
                  false, "info",      "LEVEL",
                  line};
@@ -113,6 +120,11 @@
     BOOST_OUTCOME_TRY(admin, support::ReadAddress(a.admin.getValue()));
     o.admin = admin;
   }
+  if (a.announce_address.isSet()) {
+    BOOST_OUTCOME_TRY(announced,
+                      support::ReadAddress(a.announce_address.getValue()));
+    o.announce_address = announced;
+  }
   for (const std::string& url : a.announce.getValue()) {
     BOOST_OUTCOME_TRY(target, ReadUrl(url));
     o.announce.push_back(target);
--- a/tools/standin/src/server.cc
+++ b/tools/standin/src/server.cc
@@ -64,9 +64,10 @@
   boost::asio::co_spawn(io_, replication_->Run(), boost::asio::detached);
   if (options_.primary) follower_.Follow(*options_.primary);
   boost::asio::co_spawn(io_, follower_.Run(), boost::asio::detached);
-  Announcement announcement{options_.id,          options_.group,
-                            options_.environment, options_.listen,
-                            options_.zone,        options_.ttl};
+  Announcement announcement{
+      options_.id,          options_.group,
+      options_.environment, options_.announce_address.value_or(options_.listen),
+      options_.zone,        options_.ttl};
   announcer_ = std::make_unique<Announcer>(
       io_.get_executor(), std::move(announcement), options_.announce);
   announcer_->Start();
--- a/tools/standin/src/server.h
+++ b/tools/standin/src/server.h
@@ -26,6 +26,8 @@
   Zone zone;
   Environment environment;
   Address listen;
+  /// Where callers of the member reach it, when that is not `listen`.
+  std::optional<Address> announce_address;
   Address repl_listen;
   /// Replication address of the member to follow; absent: starts as primary.
   std::optional<Address> primary;
