--- a/endpoints/src/channels.cc
+++ b/endpoints/src/channels.cc
@@ -35,7 +35,7 @@
                              ? "#" + std::to_string(next_session_++)
                              : open.session.value();
   channel->floor = floors_.Open(open.session, Now());
-  if (open.floor) RaiseFloor(channel->floor.get(), *open.floor);
+  channel->brought = open.floor;
   channel->reported = channel->floor->known;
   channels_.insert(channel);
   return [weak = weak_from_this(), channel](ToOwner message) {
--- a/endpoints/src/dispatch.cc
+++ b/endpoints/src/dispatch.cc
@@ -59,8 +59,9 @@
   const ChannelPtr& channel = found->second;
   if (item.lane == Lane::kPrimary) {
     chosen_ = primary_;
-    return true;
+    return MayBegin(*channel->job, now);
   }
+  if (JudgeFloor(channel) != FloorVerdict::kHolds) return true;
   ReadRoute route = RouteFor(channel, *channel->job, now);
   chosen_ = route.to == ReadRoute::To::kReplica ? route.replica : primary_;
   if (route.to == ReadRoute::To::kReplica) return true;
@@ -68,6 +69,13 @@
          pool_->FreeSlots(primary_) > 0;
 }
 
+/// A write that nobody could acknowledge is not begun.
+bool Group::MayBegin(const Job& job, Time now) const {
+  if (spec_.ack != AckMode::kReplicated) return true;
+  if (job.kind == StatementKind::kRead) return true;
+  return members_->AnyReplicaAlive(now);
+}
+
 std::vector<ReplicaView> Group::ReplicaViews(Time now) {
   const Member* primary = members_->Find(primary_);
   std::vector<ReplicaView> views;
@@ -94,7 +102,6 @@
 
 ReadRoute Group::RouteFor(const ChannelPtr& channel, const Job& job, Time now) {
   SessionFloor& floor = *channel->floor;
-  Resolve(&floor);
   ReadRequest read;
   read.max_staleness = job.statement.max_staleness;
   Floor known{term_, floor.known.position};
@@ -137,16 +144,27 @@
   return route;
 }
 
+/// Whether the term in force contains all that the session relies on.
+FloorVerdict Group::JudgeFloor(const ChannelPtr& channel) {
+  if (channel->brought) {
+    FloorVerdict verdict = CheckFloor(*channel->brought, term_, ends_);
+    if (verdict != FloorVerdict::kHolds) return verdict;
+    RaiseFloor(channel->floor.get(), *channel->brought);
+    channel->brought.reset();
+  }
+  Resolve(channel->floor.get());
+  return CheckFloor(channel->floor->known, term_, ends_);
+}
+
 /// Refuses a statement whose session's floor the term in force can't hold.
 bool Group::RefuseFloor(const ChannelPtr& channel, Time now) {
   SessionFloor& floor = *channel->floor;
-  Resolve(&floor);
-  FloorVerdict verdict = CheckFloor(floor.known, term_, ends_);
+  FloorVerdict verdict = JudgeFloor(channel);
   if (verdict == FloorVerdict::kHolds) return false;
   LogLine(LogLevel::kWarn, "floor_refused")
       .Field("group", id_)
       .Field("session", channel->session_key)
-      .Field("floor", ToString(floor.known))
+      .Field("floor", ToString(channel->brought.value_or(floor.known)))
       .Field("term", term_);
   if (verdict == FloorVerdict::kAhead) {
     Refuse(channel,
@@ -156,6 +174,7 @@
            "floor_ahead");
     return true;
   }
+  channel->brought.reset();
   floor = SessionFloor();
   NoteArrival(&floor, now);
   channel->reported = Floor();
--- a/endpoints/src/group.cc
+++ b/endpoints/src/group.cc
@@ -189,6 +189,14 @@
       continue;
     }
     if (!job->connection || !job->sent) continue;
+    if (LooksSilent(*job, now)) {
+      PooledPtr connection = job->connection;
+      connection->wire->Cancel();
+      pool_->Discard(connection);
+      pool_->Suspect(connection->endpoint);
+      Break(channel, "the connection fell silent");
+      continue;
+    }
     if (!job->cancelled_at && now - job->sent_at > limits_.statement_timeout) {
       job->cancelled_at = now;
       job->connection->tainted = true;
@@ -202,6 +210,17 @@
   }
 }
 
+/// A read that got nothing for long is tried once on another connection, in
+/// case only the connection fell silent.
+bool Group::LooksSilent(const Job& job, Time now) const {
+  bool nothing_yet = job.plain_read() && !job.passed && !job.holding;
+  if (!nothing_yet || job.attempts > 0 || job.cancelled_at) return false;
+  size_t rank = job.statement.rank.value();
+  Duration patience = kSilentReadAfter;
+  if (rank < ranks_.size()) patience = std::max(patience, ranks_[rank].target);
+  return now - job.sent_at > patience;
+}
+
 void Group::CheckReplicaWaits(Time now) {
   std::set<ChannelPtr> waits = replica_waits_;
   std::optional<Position> received = members_->Received();
--- a/endpoints/src/group.h
+++ b/endpoints/src/group.h
@@ -47,6 +47,7 @@
   void Tick();
   void CheckPrimaryInForce(Time now);
   void CheckRunning(Time now);
+  bool LooksSilent(const Job& job, Time now) const;
   void CheckReplicaWaits(Time now);
   void SchedulePoll();
   void FinishDrain();
@@ -68,6 +69,8 @@
   bool CanRun(const QueueItem& item, Time now);
   ReadRoute RouteFor(const ChannelPtr& channel, const Job& job, Time now);
   std::vector<ReplicaView> ReplicaViews(Time now);
+  bool MayBegin(const Job& job, Time now) const;
+  FloorVerdict JudgeFloor(const ChannelPtr& channel);
   bool RefuseFloor(const ChannelPtr& channel, Time now);
   void Run(const ChannelPtr& channel, const EndpointId& endpoint);
   void SendJob(const ChannelPtr& channel, const JobPtr& job);
--- a/endpoints/src/group_limits.h
+++ b/endpoints/src/group_limits.h
@@ -21,6 +21,9 @@
 inline constexpr Duration kRollBackPatience = Millis(1000);
 /// A read is sent again at most this often after broken connections.
 inline constexpr int kMaxReadAttempts = 3;
+/// A read without any answer for this long, and for its rank's target, may be
+/// on a silent connection.
+inline constexpr Duration kSilentReadAfter = Millis(1000);
 /// Held back bytes beyond this are passed on before the answer's end.
 inline constexpr size_t kMaxHeldBytes = 1024 * 1024;
 /// Staleness bounds below this need quick probes all the time.
--- a/endpoints/src/job.h
+++ b/endpoints/src/job.h
@@ -71,6 +71,8 @@
   int64_t credit = kChannelWindowBytes;
   std::shared_ptr<SessionFloor> floor;
   Floor reported;
+  /// The floor the caller brought, until it was found to hold.
+  std::optional<Floor> brought;
   bool closed = false;
   bool flushing = false;
 
--- a/endpoints/src/pool.cc
+++ b/endpoints/src/pool.cc
@@ -186,6 +186,7 @@
     std::erase(found->second.connections, connection);
   }
   connection->tainted = true;
+  Suspect(connection->endpoint);
   if (!connection->busy) return;
   connection->busy = false;
   hooks_.on_lost(connection, loss);
@@ -263,6 +264,15 @@
   }
 }
 
+void Pool::Suspect(const EndpointId& endpoint) {
+  auto found = members_.find(endpoint);
+  if (found == members_.end()) return;
+  Time now = Now();
+  for (const PooledPtr& connection : found->second.connections) {
+    if (Ready(*connection)) Check(connection, now);
+  }
+}
+
 void Pool::Check(const PooledPtr& connection, Time now) {
   connection->checking = true;
   connection->check_sent = now;
--- a/endpoints/src/pool.h
+++ b/endpoints/src/pool.h
@@ -65,6 +65,9 @@
   void Release(const PooledPtr& connection);
   /// Closes a connection; it counts until the endpoint closed it too.
   void Discard(const PooledPtr& connection);
+  /// Has a member's idle connections answer before they are used again,
+  /// since one of them broke or fell silent.
+  void Suspect(const EndpointId& endpoint);
   /// Closes all connections that are not busy.
   void CloseIdle();
   void Stop();
--- /dev/null
+++ b/endpoints/test/failover_executor-test.cc
@@ -0,0 +1,220 @@
+#include "failover_executor.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "owner_fixture.h"
+
+namespace cardamomchute {
+namespace {
+
+bool Proposed(const OwnerFixture& f, GroupChange::Kind kind) {
+  return std::any_of(f.proposals.begin(), f.proposals.end(),
+                     [kind](const GroupChange& c) { return c.kind == kind; });
+}
+
+/// The candidate's followers take its term, as PostgreSQL's would.
+void Follow(OwnerFixture& f, size_t primary) {
+  for (size_t i = 0; i < f.endpoints.size(); ++i) {
+    if (i == primary) continue;
+    f.endpoints[i]->term = f.endpoints[primary]->term;
+    f.endpoints[primary]->replicas.push_back(f.endpoints[i].get());
+  }
+}
+
+bool WriteUntilAnswered(OwnerFixture& f, TestCaller& caller) {
+  return f.Until([&] {
+    return f.Run(caller, "INSERT a") && caller.ending() == Ending::kAnswered;
+  });
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_killed_primary_is_replaced_by_the_furthest_replica) {
+  OwnerFixture f(3);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.endpoints[2]->received += 50;
+  f.RunFor(Millis(300));
+  f.endpoints[0]->Kill();
+  BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+  BOOST_TEST(f.record().primary == f.Id(2));
+  BOOST_TEST(f.record().term == Term(2));
+  BOOST_TEST(caller->last().floor->term == Term(2));
+  std::string follow = pgwire::FollowSql(f.endpoints[2]->address());
+  BOOST_REQUIRE(f.Until([&] { return f.endpoints[1]->Count(follow) == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_primary_is_replaced) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.endpoints[0]->silent = true;
+  f.endpoints[0]->replicas.clear();
+  BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+  BOOST_TEST(f.record().primary == f.Id(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_stalled_primary_is_not_replaced) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.endpoints[0]->hold_probes = true;
+  f.endpoints[0]->hold_answers = true;
+  f.Send(*caller, "INSERT stalled");
+  f.RunFor(Millis(500));
+  f.endpoints[0]->Release();
+  BOOST_REQUIRE(f.Until([&] { return caller->ends.size() == 2; }));
+  BOOST_TEST((caller->ending() == Ending::kAnswered));
+  f.RunFor(Millis(300));
+  BOOST_TEST(f.proposals.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_others_reach_moves_the_ownership) {
+  OwnerFixture f(2);
+  Observation seen;
+  seen.reached = true;
+  seen.is_primary = true;
+  seen.position = Floor{Term(1), Position(1000)};
+  f.observations = {seen};
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.endpoints[0]->silent = true;
+  BOOST_REQUIRE(f.Until([&] { return !caller->resets.empty(); }));
+  BOOST_TEST(Proposed(f, GroupChange::Kind::kRelease));
+  BOOST_TEST(!Proposed(f, GroupChange::Kind::kFailoverIntent));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_promoted_without_the_quorum) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.refuse_proposals = true;
+  f.endpoints[0]->Kill();
+  BOOST_REQUIRE(f.Until([&] { return f.proposals.size() >= 3; }));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_unfinished_failover_is_finished_by_the_next_owner) {
+  OwnerFixture f(3);
+  f.record().failover = FailoverIntent{f.Id(1), Term(1)};
+  f.endpoints[0]->Kill();
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+  BOOST_TEST(f.record().primary == f.Id(1));
+  BOOST_TEST(!Proposed(f, GroupChange::Kind::kFailoverIntent));
+}
+
+BOOST_AUTO_TEST_CASE(an_unreachable_candidate_is_given_up) {
+  OwnerFixture f(3);
+  f.record().failover = FailoverIntent{f.Id(1), Term(1)};
+  f.endpoints[0]->Kill();
+  f.endpoints[1]->Kill();
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+  BOOST_TEST(f.record().primary == f.Id(2));
+}
+
+BOOST_AUTO_TEST_CASE(a_returned_primary_gets_nothing) {
+  OwnerFixture f(3);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.endpoints[0]->silent = true;
+  BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+  f.endpoints[0]->silent = false;
+  f.endpoints[0]->ResetConnections();
+  size_t before = f.endpoints[0]->statements.size();
+  size_t probes = f.endpoints[0]->probes;
+  BOOST_REQUIRE(f.Until([&] { return f.endpoints[0]->probes > probes + 2; }));
+  for (int i = 0; i < 20; ++i) {
+    BOOST_REQUIRE(f.Run(*caller, "INSERT b"));
+    BOOST_REQUIRE(f.Run(*caller, "SELECT 1", StatementKind::kRead));
+  }
+  BOOST_TEST(f.endpoints[0]->statements.size() == before);
+  BOOST_TEST(f.record().primary != f.Id(0));
+}
+
+BOOST_AUTO_TEST_CASE(a_write_in_flight_at_a_failover_ends_unknown) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  f.endpoints[0]->hold_answers = true;
+  f.Send(*caller, "INSERT lost");
+  BOOST_REQUIRE(
+      f.Until([&] { return f.endpoints[0]->Count("INSERT lost") == 1; }));
+  f.endpoints[0]->silent = true;
+  BOOST_REQUIRE(f.Until([&] { return !caller->ends.empty(); }));
+  BOOST_TEST(caller->last().sqlstate == "08007");
+  BOOST_TEST(f.endpoints[1]->Count("INSERT lost") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(floors_of_a_term_hold_up_to_its_end) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> kept = f.Connect("kept");
+  std::unique_ptr<TestCaller> lost = f.Connect("lost");
+  BOOST_REQUIRE(f.Run(*kept, "INSERT kept"));
+  f.endpoints[0]->replicas.clear();
+  BOOST_REQUIRE(f.Run(*lost, "INSERT lost"));
+  f.endpoints[0]->Kill();
+  BOOST_REQUIRE(f.Until([&] { return f.record().term == Term(2); }));
+  BOOST_REQUIRE(f.Run(*kept, "SELECT 1", StatementKind::kRead));
+  BOOST_TEST((kept->ending() == Ending::kAnswered));
+  BOOST_REQUIRE(f.Run(*lost, "SELECT 1", StatementKind::kRead));
+  BOOST_TEST((lost->ending() == Ending::kNotRun));
+  BOOST_TEST(lost->last().sqlstate == "40001");
+}
+
+BOOST_AUTO_TEST_CASE(two_failovers_in_a_row) {
+  OwnerFixture f(3);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.endpoints[0]->Kill();
+  BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+  size_t second = f.record().primary == f.Id(1) ? 1 : 2;
+  Follow(f, second);
+  f.RunFor(Millis(300));
+  f.endpoints[second]->Kill();
+  BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+  BOOST_TEST(f.record().term == Term(3));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_endpoint_gets_nothing_new) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.view = std::make_shared<ClusterView>(*f.view);
+  f.view->endpoints[f.Id(1)].leaving = true;
+  f.Publish();
+  size_t before = f.endpoints[1]->statements.size();
+  for (int i = 0; i < 10; ++i) {
+    BOOST_REQUIRE(f.Run(*caller, "SELECT 1", StatementKind::kRead));
+  }
+  BOOST_TEST(f.endpoints[1]->statements.size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_primary_hands_over) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  f.view = std::make_shared<ClusterView>(*f.view);
+  f.view->endpoints[f.Id(0)].leaving = true;
+  f.Publish();
+  BOOST_REQUIRE(f.Run(*caller, "INSERT second"));
+  BOOST_TEST((caller->ending() == Ending::kAnswered));
+  BOOST_TEST(f.record().primary == f.Id(1));
+  BOOST_TEST(f.endpoints[0]->Count("INSERT second") == 0U);
+}
+
+}  // namespace cardamomchute
--- a/endpoints/test/fake_endpoint.h
+++ b/endpoints/test/fake_endpoint.h
@@ -2,6 +2,7 @@
 #ifndef CARDAMOMCHUTE_ENDPOINTS_TEST_FAKE_ENDPOINT_H_
 #define CARDAMOMCHUTE_ENDPOINTS_TEST_FAKE_ENDPOINT_H_
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -83,6 +84,11 @@
     open_connections = 0;
   }
 
+  /// All connections there are fall silent for good; new ones work.
+  void SilenceConnections() {
+    for (const std::shared_ptr<Connection>& c : connections_) c->mute = true;
+  }
+
   void Write(uint64_t bytes) {
     received += bytes;
     replayed = received;
@@ -93,6 +99,8 @@
   }
 
  private:
+  static constexpr size_t kWriteBytes = 32 * 1024;
+
   struct Connection : std::enable_shared_from_this<Connection> {
     Connection(FakeEndpoint* owner, boost::asio::ip::tcp::socket s)
         : endpoint(owner), socket(std::move(s)) {}
@@ -298,7 +306,7 @@
     }
 
     void Send(const std::string& bytes) {
-      if (endpoint->silent) return;
+      if (endpoint->silent || mute) return;
       out += bytes;
       if (!writing) Write();
     }
@@ -306,10 +314,11 @@
     void Write() {
       if (out.empty()) return;
       writing = true;
-      sending.swap(out);
-      if (sending.size() > 32768) {
-        out = sending.substr(32768);
-        sending.resize(32768);
+      sending = out.substr(out_used, kWriteBytes);
+      out_used += sending.size();
+      if (out_used == out.size()) {
+        out.clear();
+        out_used = 0;
       }
       boost::asio::async_write(
           socket, boost::asio::buffer(sending),
@@ -328,9 +337,11 @@
     char chunk[8192];
     std::string in;
     std::string out;
+    size_t out_used = 0;
     std::string sending;
     bool writing = false;
     bool started = false;
+    bool mute = false;
     char status = 'I';
     bool skipping = false;
     bool ran = false;
@@ -346,6 +357,8 @@
       if (error) return;
       std::shared_ptr<Connection> connection =
           std::make_shared<Connection>(this, std::move(socket));
+      connection->socket.set_option(boost::asio::ip::tcp::no_delay(true),
+                                    error);
       connections_.insert(connection);
       ++connections_seen;
       ++open_connections;
--- a/endpoints/test/owner_fixture.h
+++ b/endpoints/test/owner_fixture.h
@@ -26,6 +26,12 @@
   size_t unread = 0;
   bool reads = true;  ///< gives credit back at once
   uint64_t next = 1;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+  TestCaller() = default;
+  TestCaller(const TestCaller&) = delete;
+  TestCaller& operator=(const TestCaller&) = delete;
+  ~TestCaller() { *alive = false; }
 
   const StatementEnd& last() const { return ends.back(); }
   Ending ending() const { return static_cast<Ending>(ends.back().ending); }
@@ -178,18 +184,20 @@
     open.floor = floor;
     open.entry = vm;
     TestCaller* raw = caller.get();
-    caller->to_owner = owner->Open(open, [raw](FromOwner message) {
-      if (AnswerData* data = std::get_if<AnswerData>(&message)) {
-        raw->bytes += data->bytes;
-        uint32_t size = static_cast<uint32_t>(data->bytes.size());
-        if (raw->reads) return raw->to_owner(Credit{size});
-        raw->unread += size;
-      } else if (StatementEnd* end = std::get_if<StatementEnd>(&message)) {
-        raw->ends.push_back(*end);
-      } else {
-        raw->resets.push_back(std::get<ChannelReset>(message));
-      }
-    });
+    caller->to_owner =
+        owner->Open(open, [raw, alive = raw->alive](FromOwner message) {
+          if (!*alive) return;
+          if (AnswerData* data = std::get_if<AnswerData>(&message)) {
+            raw->bytes += data->bytes;
+            uint32_t size = static_cast<uint32_t>(data->bytes.size());
+            if (raw->reads) return raw->to_owner(Credit{size});
+            raw->unread += size;
+          } else if (StatementEnd* end = std::get_if<StatementEnd>(&message)) {
+            raw->ends.push_back(*end);
+          } else {
+            raw->resets.push_back(std::get<ChannelReset>(message));
+          }
+        });
     return caller;
   }
 
--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -69,7 +69,9 @@
   const MemberHealth* primary = Find(inputs, inputs.primary);
   if (primary == nullptr) return true;
   if (primary->refused) return true;
-  bool demoted = Fresh(*primary, inputs.now) && !primary->is_primary;
+  // A word of an earlier term is from before its promotion.
+  bool demoted = Fresh(*primary, inputs.now) && !primary->is_primary &&
+                 primary->received.term >= inputs.term;
   if (demoted) return true;
   return primary->silent_since &&
          inputs.now - *primary->silent_since >= kSuspectAfter;
--- a/policy/src/position.cc
+++ b/policy/src/position.cc
@@ -109,17 +109,24 @@
 void ResolveFloor(SessionFloor* session, const EndpointId& primary,
                   Term in_force, const TermEnds& ends,
                   const HistoryOf& history_of) {
-  std::vector<PendingFloor> left;
-  for (const PendingFloor& pending : session->pending) {
-    std::optional<Floor> place =
-        PlaceOf(pending, primary, in_force, ends, history_of);
-    if (place) {
-      RaiseFloor(session, *place);
-    } else {
-      left.push_back(pending);
+  // Places in earlier terms come first: one that is lost has to be told, and
+  // must not vanish behind a place in the term in force.
+  for (bool earlier : {true, false}) {
+    std::vector<PendingFloor> left;
+    for (const PendingFloor& pending : session->pending) {
+      std::optional<Floor> place =
+          PlaceOf(pending, primary, in_force, ends, history_of);
+      if (place && (place->term < in_force) == earlier) {
+        RaiseFloor(session, *place);
+      } else {
+        left.push_back(pending);
+      }
+    }
+    session->pending = std::move(left);
+    if (CheckFloor(session->known, in_force, ends) != FloorVerdict::kHolds) {
+      return;
     }
   }
-  session->pending = std::move(left);
 }
 
 FloorVerdict CheckFloor(const Floor& floor, Term in_force,
