--- a/policy/src/lease.cc
+++ b/policy/src/lease.cc
@@ -24,6 +24,11 @@
   return knows || IsDead(table, group.revoked_from, now);
 }
 
+/// A VM that others can't reach for statements is a control member only.
+bool TakesStatements(const VmRecord& record) {
+  return record.peer_address.port != 0;
+}
+
 std::vector<OwnerCandidate> Candidates(const LeaseTable& table,
                                        const ControlState& state,
                                        const Environment& environment) {
@@ -32,7 +37,7 @@
     const VmRecord* record = Registered(state, id);
     bool fit = record != nullptr && lease.alive && !lease.report.draining &&
                record->incarnation == lease.report.incarnation &&
-               record->environment == environment &&
+               record->environment == environment && TakesStatements(*record) &&
                lease.dead_from > Time();
     if (fit) candidates.push_back(OwnerCandidate{id, record->zone});
   }
@@ -126,8 +131,8 @@
 std::vector<VmId> ExpireLeases(LeaseTable& table, Time now) {
   std::vector<VmId> expired;
   for (auto& [id, lease] : table.vms) {
-    bool over = lease.alive && lease.dead_from > Time() &&
-                now >= lease.dead_from;
+    bool over =
+        lease.alive && lease.dead_from > Time() && now >= lease.dead_from;
     if (!over) continue;
     lease.alive = false;
     expired.push_back(id);
@@ -141,9 +146,10 @@
   return it == table.vms.end() || now >= it->second.dead_from;
 }
 
-std::vector<AssignOwner> DueAssignments(
-    const LeaseTable& table, const ControlState& state,
-    const std::map<EndpointId, Zone>& zones, Time now) {
+std::vector<AssignOwner> DueAssignments(const LeaseTable& table,
+                                        const ControlState& state,
+                                        const std::map<EndpointId, Zone>& zones,
+                                        Time now) {
   std::vector<AssignOwner> due;
   for (const auto& [environment, record] : state.environments) {
     AssignEnvironment(table, state, environment, zones, now, due);
--- a/policy/src/quorum.cc
+++ b/policy/src/quorum.cc
@@ -366,7 +366,8 @@
   request.round = state.round;
   size_t bytes = 0;
   size_t offset = OffsetAfter(state, request.previous_index);
-  for (; offset < state.log.size() && bytes < kMaxAppendBytes; ++offset) {
+  for (; offset < state.log.size() && bytes < state.max_append_bytes;
+       ++offset) {
     bytes += state.log[offset].command.size();
     request.entries.push_back(state.log[offset]);
   }
@@ -518,6 +519,7 @@
 }
 
 void Compact(QuorumState& state, LogIndex index, std::string bytes) {
+  if (!state.output.Empty()) return;
   if (index <= state.snapshot.last_index || index > state.applied) return;
   QuorumSnapshot snapshot;
   snapshot.last_index = index;
