--- a/policy/include/cardamomchute/policy/lease.h
+++ b/policy/include/cardamomchute/policy/lease.h
@@ -30,6 +30,10 @@
 /// Between a VM's report that it knows of a revocation and its effect there.
 inline constexpr Duration kRevocationDelay = Millis(200);
 
+/// A new leader waits so long for VMs to report before it gives groups that
+/// nobody owns to the few it has heard.
+inline constexpr Duration kGatherTime = Millis(700);
+
 /// The end that a VM counts with, for a renewal it sent at `sent`.
 constexpr Time LeaseEnd(Time sent, Duration lease) {
   return sent + lease - kDriftMargin;
--- a/policy/src/lease.cc
+++ b/policy/src/lease.cc
@@ -44,7 +44,10 @@
 }
 
 bool MayAssign(const LeaseTable& table, const GroupRecord& group, Time now) {
-  if (group.owner.empty()) return RevocationOver(table, group, now);
+  bool gathering = now - table.reign_start < kGatherTime;
+  if (group.owner.empty()) {
+    return !gathering && RevocationOver(table, group, now);
+  }
   return IsDead(table, group.owner, now);
 }
 
--- a/policy/src/quorum.cc
+++ b/policy/src/quorum.cc
@@ -275,12 +275,22 @@
   ResetElection(state, now);
 }
 
+bool IsContiguous(const AppendRequest& request) {
+  LogIndex expected = request.previous_index;
+  for (const LogEntry& entry : request.entries) {
+    expected = expected.Next();
+    if (entry.index != expected) return false;
+  }
+  return true;
+}
+
 void OnAppendRequest(QuorumState& state, const QuorumMessage& message,
                      const AppendRequest& request, Time now) {
   if (message.term < state.vote.term) {
     return Send(state, message.from,
                 AppendAnswer{false, LogIndex(), request.round});
   }
+  if (!IsContiguous(request)) return;
   FollowLeader(state, message, now);
   bool known = request.previous_index <= state.snapshot.last_index ||
                TermAt(state, request.previous_index) == request.previous_term;
@@ -330,6 +340,7 @@
                     const AppendAnswer& answer, Time now) {
   if (state.role != QuorumRole::kLeader) return;
   if (message.term != state.vote.term) return;
+  if (answer.match > LastIndex(state) || answer.round > state.round) return;
   auto it = state.progress.find(message.from);
   if (it == state.progress.end()) return;
   MemberProgress& progress = it->second;
@@ -458,7 +469,7 @@
 }
 
 void OnMessage(QuorumState& state, const QuorumMessage& message, Time now) {
-  if (message.to != state.self) return;
+  if (message.to != state.self || message.from == state.self) return;
   const VoteRequest* vote = std::get_if<VoteRequest>(&message.body);
   if (vote != nullptr && vote->pre) {
     return OnPreVoteRequest(state, message, *vote, now);
--- a/policy/test/lease-test.cc
+++ b/policy/test/lease-test.cc
@@ -26,7 +26,7 @@
   LeaseTable table;
 
   Fixture() {
-    table.reign_start = kStart;
+    table.reign_start = kStart - kGatherTime;
     Submit(0, {kGroup});
     Register("a", 1);
     Register("b", 1);
@@ -70,6 +70,13 @@
   BOOST_TEST((LeaseEnd(sent, kLease) + kDriftMargin < sent + kSpan));
 }
 
+BOOST_FIXTURE_TEST_CASE(new_groups_wait_until_vms_have_gathered, Fixture) {
+  table.reign_start = kStart;
+  Renew(Report("a"), kStart);
+  BOOST_TEST(Assign(kStart + kGatherTime - Millis(1)) == 0u);
+  BOOST_TEST(Assign(kStart + kGatherTime) == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(dead_owner_loses_its_groups, Fixture) {
   BOOST_TEST((Renew(Report("a"), kStart) == RenewalVerdict::kGrant));
   BOOST_TEST(Assign(kStart) == 1u);
--- a/policy/test/quorum-test.cc
+++ b/policy/test/quorum-test.cc
@@ -440,6 +440,36 @@
   BOOST_TEST(hand.state.commit.value() == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(follower_commits_only_what_agrees_with_its_leader) {
+  StoredQuorum stored;
+  stored.vote.term = QuorumTerm(3);
+  stored.entries.push_back(LogEntry{LogIndex(1), QuorumTerm(1)});
+  stored.entries.push_back(LogEntry{LogIndex(2), QuorumTerm(1)});
+  Hand hand(stored);
+  AppendRequest heartbeat;
+  heartbeat.previous_index = LogIndex(1);
+  heartbeat.previous_term = QuorumTerm(1);
+  heartbeat.commit = LogIndex(2);
+  hand.Receive(1, heartbeat);
+  BOOST_TEST(hand.state.commit.value() == 1u);
+  heartbeat.entries.push_back(LogEntry{LogIndex(2), QuorumTerm(2)});
+  hand.Receive(1, heartbeat);
+  BOOST_TEST(hand.state.commit.value() == 2u);
+  BOOST_TEST(hand.state.log.back().term.value() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(impossible_messages_change_nothing) {
+  Hand hand{StoredQuorum()};
+  AppendRequest gap;
+  gap.entries.push_back(LogEntry{LogIndex(7), QuorumTerm(1)});
+  hand.Receive(1, gap);
+  BOOST_TEST(hand.state.log.empty());
+  hand.Elect();
+  hand.Receive(1, AppendAnswer{true, LogIndex(99), Round(99)});
+  BOOST_TEST(hand.state.commit.value() == 0u);
+  BOOST_TEST((hand.Flush().confirmed == Round()));
+}
+
 BOOST_AUTO_TEST_CASE(answers_to_earlier_rounds_confirm_nothing_later) {
   Hand hand{StoredQuorum()};
   hand.Elect();
