--- a/operators/include/cardamomchute/operators/http_api.h
+++ b/operators/include/cardamomchute/operators/http_api.h
@@ -17,7 +17,6 @@
 
 namespace cardamomchute {
 
-
 /// The HTTP status that carries an error of this kind.
 uint32_t HttpStatusOf(ErrorKind kind);
 
