--- a/policy/test/lease-test.cc
+++ b/policy/test/lease-test.cc
@@ -137,6 +137,12 @@
   BOOST_TEST(Group().owner == VmId("b"));
 }
 
+BOOST_FIXTURE_TEST_CASE(vm_without_a_peer_address_gets_no_group, Fixture) {
+  Register("control", 1, 0);
+  Renew(Report("control"), kStart);
+  BOOST_TEST(Assign(kStart) == 0u);
+}
+
 BOOST_FIXTURE_TEST_CASE(revoked_group_waits_until_its_owner_knows, Fixture) {
   Time now = kStart + Seconds(10);
   Renew(Report("a"), now);
