--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -1,5 +1,6 @@
 #include "cluster.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <filesystem>
@@ -41,6 +42,11 @@
          "\"\n"
          "[[access]]\nusers = [\"desk\"]\ngroups = [\"tickets\"]\n"
          "rank = \"urgent\"\nmax_staleness_ms = -1\nwrites = true\n"
+         "[[access]]\nusers = [\"loadgen\"]\napplications = [\"browse\"]\n"
+         "groups = [\"tickets\"]\nrank = \"browse\"\n"
+         "max_staleness_ms = 2000\nwrites = true\n"
+         "[[access]]\nusers = [\"loadgen\"]\ngroups = [\"tickets\"]\n"
+         "rank = \"urgent\"\nmax_staleness_ms = 0\nwrites = true\n"
          "[[access]]\nusers = [\"viewer\"]\ngroups = [\"tickets\"]\n"
          "rank = \"browse\"\nmax_staleness_ms = 5000\nwrites = false\n";
 }
@@ -128,6 +134,18 @@
                                 folder_ + "/" + endpoint.id + ".log");
 }
 
+void Cluster::StartFollowing(EndpointProcess& endpoint,
+                             const EndpointProcess& primary) {
+  std::vector<std::string>::iterator option =
+      std::find(endpoint.args.begin(), endpoint.args.end(), "--primary");
+  if (option != endpoint.args.end()) {
+    endpoint.args.erase(option, option + 2);
+  }
+  endpoint.args.push_back("--primary");
+  endpoint.args.push_back(Local(primary.proxy_port + kReplicationOffset));
+  StartEndpoint(endpoint);
+}
+
 void Cluster::StartProxy() {
   proxy_admin_ = FreePort();
   std::vector<std::string> args = {"--admin", Local(proxy_admin_)};
@@ -215,6 +233,37 @@
   BOOST_REQUIRE(response.value().status == 200);
 }
 
+void Cluster::Direct(const EndpointProcess& endpoint,
+                     const std::string& command) {
+  Result<HttpResponse> response =
+      CallHttp(Address{"127.0.0.1", endpoint.admin_port}, "POST", "/" + command,
+               "", kHttpTimeout);
+  BOOST_REQUIRE(response.has_value());
+  BOOST_REQUIRE(response.value().status == 200);
+}
+
+std::string Cluster::LeadingControl() {
+  for (int i = 0; i < kGiveUpSeconds; ++i) {
+    RunOutcome status = Cli({"status", "--environment", "production"});
+    nlohmann::json json = nlohmann::json::parse(status.output, nullptr, false);
+    if (json.is_object()) {
+      for (const nlohmann::json& member : json["members"]) {
+        if (member.value("leader", false)) return member["id"];
+      }
+    }
+    Pause();
+  }
+  BOOST_FAIL("status names no leading control member");
+  return "";
+}
+
+VmProcess& Cluster::Control(const std::string& id) {
+  for (VmProcess& vm : control) {
+    if (vm.id == id) return vm;
+  }
+  throw std::runtime_error("no control member " + id);
+}
+
 RunOutcome Cluster::Cli(std::vector<std::string> args) {
   std::string servers;
   for (const VmProcess& vm : control) {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -61,12 +61,19 @@
   std::vector<EndpointProcess> endpoints;
 
   void StartVm(VmProcess& vm);
+  /// As it was started first; an empty primary of term 1, or a replica.
   void StartEndpoint(EndpointProcess& endpoint);
+  /// Empty, as a replica of `primary`.
+  void StartFollowing(EndpointProcess& endpoint,
+                      const EndpointProcess& primary);
 
   /// A command of the fault proxy for one endpoint: "cut", "restore",
   /// "silence", "delay?ms=50", ...
   void Fault(const EndpointProcess& endpoint, const std::string& command);
 
+  /// A command of a stand-in's own: "lag?ms=1000", "leave", ...
+  void Direct(const EndpointProcess& endpoint, const std::string& command);
+
   /// The operators' CLI against all control members.
   RunOutcome Cli(std::vector<std::string> args);
 
@@ -74,6 +81,10 @@
   std::string OwnerOf(const std::string& group);
   std::string PrimaryOf(const std::string& group);
 
+  /// The control member that leads, and the VM of that name.
+  std::string LeadingControl();
+  VmProcess& Control(const std::string& id);
+
   VmProcess& Entry(const std::string& id);
   EndpointProcess& Endpoint(const std::string& id);
   /// An entry that is not the owner of the group.
