--- a/tools/loadgen/test/load-test.cc
+++ b/tools/loadgen/test/load-test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <thread>
+#include <type_traits>
 
 #include "cardamomchute/loadgen_history/checker.h"
 #include "server.h"
@@ -30,10 +31,11 @@
 
   /// Runs on the member's thread.
   template <typename F>
-  auto Ask(F f) -> decltype(f(server_->member())) {
-    std::packaged_task<decltype(f(server_->member()))()> task(
+  std::invoke_result_t<F, standin::Member&> Ask(F f) {
+    using Answer = std::invoke_result_t<F, standin::Member&>;
+    std::packaged_task<Answer()> task(
         [this, f] { return f(server_->member()); });
-    auto result = task.get_future();
+    std::future<Answer> result = task.get_future();
     boost::asio::post(io_, [&task] { task(); });
     return result.get();
   }
