--- a/callers/include/cardamomchute/callers/caller_server.h
+++ b/callers/include/cardamomchute/callers/caller_server.h
@@ -29,6 +29,7 @@
   Metrics* metrics = nullptr;
 };
 
+/// Outlived by the contexts of its threads.
 class CallerServer {
  public:
   explicit CallerServer(CallerServerParts parts);
@@ -44,6 +45,9 @@
 
   size_t callers() const;
 
+  /// The port it listens on, once started.
+  uint16_t port() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
