--- a/callers/src/startup.cc
+++ b/callers/src/startup.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace cardamomchute {
 namespace {
@@ -23,9 +24,8 @@
   bool in_word = false;
   for (size_t i = 0; i < text.size(); ++i) {
     bool blank = std::isspace(static_cast<unsigned char>(text[i])) != 0;
-    if (blank && in_word) words.push_back(std::move(word));
     if (blank) {
-      word.clear();
+      if (in_word) words.push_back(std::exchange(word, std::string()));
       in_word = false;
       continue;
     }
@@ -33,7 +33,7 @@
     word.push_back(text[i]);
     in_word = true;
   }
-  if (in_word) words.push_back(std::move(word));
+  if (in_word) words.push_back(word);
   return words;
 }
 
