--- a/policy/include/cardamomchute/policy/lease.h
+++ b/policy/include/cardamomchute/policy/lease.h
@@ -45,7 +45,7 @@
   Incarnation incarnation;
   Environment environment;
   Zone zone;
-  Address peer_address;
+  Address peer_address;  ///< port 0: serves no statements, so owns no group
   Version applied;
   Revision known;  ///< revision of the view it has published
   bool draining = false;
--- a/policy/test/lease-test.cc
+++ b/policy/test/lease-test.cc
@@ -41,9 +41,11 @@
                            std::move(groups)};
     BOOST_REQUIRE(Apply(state, command));
   }
-  void Register(const std::string& vm, uint64_t incarnation) {
-    BOOST_REQUIRE(Apply(state, RegisterVm{VmId(vm), Incarnation(incarnation),
-                                          kEnvironment, Zone("z"), Address{}}));
+  void Register(const std::string& vm, uint64_t incarnation,
+                uint16_t port = 7000) {
+    BOOST_REQUIRE(Apply(
+        state, RegisterVm{VmId(vm), Incarnation(incarnation), kEnvironment,
+                          Zone("z"), Address{"127.0.0.1", port}}));
   }
   RenewalVerdict Renew(const VmReport& report, Time now) {
     RenewalVerdict verdict = OnRenewal(table, state, report, now);
@@ -137,6 +139,12 @@
   BOOST_TEST(Group().owner == VmId("b"));
 }
 
+BOOST_FIXTURE_TEST_CASE(vm_without_a_peer_address_gets_no_group, Fixture) {
+  Register("control", 1, 0);
+  Renew(Report("control"), kStart);
+  BOOST_TEST(Assign(kStart) == 0u);
+}
+
 BOOST_FIXTURE_TEST_CASE(revoked_group_waits_until_its_owner_knows, Fixture) {
   Time now = kStart + Seconds(10);
   Renew(Report("a"), now);
