--- a/callers/src/caller_session.cc
+++ b/callers/src/caller_session.cc
@@ -19,6 +19,7 @@
 constexpr size_t kMaxRepeatableBytes = 256 * 1024;
 /// The longest unnamed statement that is kept beyond its batch.
 constexpr size_t kMaxUnnamedBytes = 16 * 1024;
+constexpr Duration kRollbackDeadline = Seconds(30);
 constexpr Duration kFirstBackoff = Millis(5);
 constexpr Duration kMaxBackoff = Millis(160);
 
@@ -26,6 +27,11 @@
   return kind != StatementKind::kWrite;
 }
 
+uint64_t RandomTag() {
+  thread_local std::mt19937_64 random{std::random_device()()};
+  return random();
+}
+
 /// Doubles with each reset, with up to half of it as jitter.
 Duration Backoff(uint32_t resets) {
   thread_local std::minstd_rand random{std::random_device()()};
@@ -44,6 +50,7 @@
       caller_(std::move(admitted.caller)),
       grant_(admitted.grant),
       options_(std::move(admitted.options)),
+      session_tag_(RandomTag()),
       reported_floor_(options_.floor) {
   SetBase(std::move(admitted.setup), &state_);
 }
@@ -79,8 +86,7 @@
   while (CanStart()) Start(TakeBatch(&queue_));
   pumping_ = false;
   // What waits for a Sync that will not come is over as well.
-  bool nothing_runs =
-      under_way_ == nullptr || !under_way_->statement.complete;
+  bool nothing_runs = under_way_ == nullptr || !under_way_->statement.complete;
   bool done = nothing_runs && !HasReadyBatch(queue_);
   if (terminating_ && done && !closed_) {
     Close();
@@ -91,15 +97,20 @@
 }
 
 void CallerSession::Start(Batch batch) {
+  ViewPtr view = parts_->view();
+  if (!view || !view->document) {
+    return Refuse(NotRunReport("this VM has no document"));
+  }
   bool between_blocks = status() == 'I';
-  if (between_blocks && !RefreshGrant()) return;
-  PlanContext context{&state_, owner_status_ != 'I', grant_.writes};
+  if (between_blocks && !RefreshGrant(*view)) return;
+  PlanContext context{&state_, owner_status_ != 'I', grant_.writes,
+                      session_tag_, ++batches_};
   BatchPlan plan = PlanBatch(batch.bytes, context);
   // In a failed transaction the endpoint refuses these as it does all else.
   if (owner_status_ == 'E' && !plan.steps.empty()) plan.local = false;
   if (block_lost_) return RefuseInLostBlock(batch, plan);
   if (plan.refusal) return Refuse(*plan.refusal);
-  if (!plan.local) return Send(std::move(batch), std::move(plan));
+  if (!plan.local) return Send(std::move(batch), std::move(plan), *view);
   if (batch.complete) return AnswerAlone(batch, plan);
   Refuse(MakeReport("0A000", "this statement can't be flushed before Sync",
                     "send Sync after it"));
@@ -107,12 +118,10 @@
 
 /// Looks whether a newer document still lets the caller in; false: it does
 /// not, and the caller has been told.
-bool CallerSession::RefreshGrant() {
-  ViewPtr view = parts_->view();
-  if (!view || !view->document) return true;
-  if (view->document->version == grant_version_) return true;
-  grant_version_ = view->document->version;
-  Result<Grant> grant = FindGrant(view->document->document, caller_);
+bool CallerSession::RefreshGrant(const ClusterView& view) {
+  if (view.document->version == grant_version_) return true;
+  grant_version_ = view.document->version;
+  Result<Grant> grant = FindGrant(view.document->document, caller_);
   if (grant.has_error()) {
     links_.write(pgwire::ErrorResponse(AccessReport(grant.error())));
     Close();
@@ -272,7 +281,6 @@
   statement.kind = static_cast<uint8_t>(plan.kind);
   statement.rank = EffectiveRank(grant_, options_);
   statement.max_staleness = EffectiveStaleness(grant_, options_);
-  statement.deadline = StatementDeadline(statement.rank);
   bool may_carry_key = plan.writes_data || owner_status_ != 'I';
   if (may_carry_key) statement.operation_key = options_.operation_key;
   statement.setup = Setup(state_);
@@ -286,21 +294,20 @@
   return statement;
 }
 
-Duration CallerSession::StatementDeadline(Rank rank) const {
-  ViewPtr view = parts_->view();
-  if (!view || !view->document) return Seconds(30);
-  const Document& document = view->document->document;
+Duration CallerSession::StatementDeadline(const Document& document, Rank rank) {
   Duration limit = document.limits.statement_timeout;
   if (rank.value() >= document.ranks.size()) return limit;
   Duration target = document.ranks[rank.value()].target;
   return target > Duration() ? target : limit;
 }
 
-void CallerSession::Send(Batch batch, BatchPlan plan) {
+void CallerSession::Send(Batch batch, BatchPlan plan, const ClusterView& view) {
   under_way_ = std::make_unique<UnderWay>();
   under_way_->started = Now();
   under_way_->in_block = owner_status_ != 'I';
   under_way_->statement = MakeStatement(plan);
+  under_way_->statement.deadline =
+      StatementDeadline(view.document->document, under_way_->statement.rank);
   under_way_->statement.bytes = std::move(plan.bytes);
   under_way_->statement.complete = batch.complete;
   if (!batch.complete) plan.kind = StatementKind::kWrite;
@@ -355,7 +362,8 @@
     return Answer("", status());
   }
   if (under_way_ == nullptr) return;
-  PlanContext context{&state_, under_way_->in_block, grant_.writes};
+  PlanContext context{&state_, under_way_->in_block, grant_.writes,
+                      session_tag_, ++batches_};
   context.earlier = &under_way_->plan;
   BatchPlan plan = PlanBatch(batch.bytes, context);
   if (plan.refusal) {
@@ -376,6 +384,7 @@
   under_way_->hidden = true;
   under_way_->started = Now();
   under_way_->statement = MakeStatement(BatchPlan());
+  under_way_->statement.deadline = kRollbackDeadline;
   under_way_->statement.bytes = pgwire::Query("ROLLBACK");
   SendStatement();
 }
