--- a/policy/test/lease-test.cc
+++ b/policy/test/lease-test.cc
@@ -41,9 +41,11 @@
                            std::move(groups)};
     BOOST_REQUIRE(Apply(state, command));
   }
-  void Register(const std::string& vm, uint64_t incarnation) {
-    BOOST_REQUIRE(Apply(state, RegisterVm{VmId(vm), Incarnation(incarnation),
-                                          kEnvironment, Zone("z"), Address{}}));
+  void Register(const std::string& vm, uint64_t incarnation,
+                uint16_t port = 7000) {
+    BOOST_REQUIRE(Apply(
+        state, RegisterVm{VmId(vm), Incarnation(incarnation), kEnvironment,
+                          Zone("z"), Address{"127.0.0.1", port}}));
   }
   RenewalVerdict Renew(const VmReport& report, Time now) {
     RenewalVerdict verdict = OnRenewal(table, state, report, now);
