--- a/tools/standin/src/session.cc
+++ b/tools/standin/src/session.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <random>
+#include <sstream>
 
 #include "cardamomchute/base/log.h"
 #include "parser.h"
@@ -23,6 +24,19 @@
   return SqlError{"08P01", what, "FATAL"};
 }
 
+/// Applies each "-c name=value" of the startup packet's options.
+void ApplySwitches(const std::string& text, SettingsMap* settings) {
+  std::istringstream words(text);
+  std::string word;
+  while (words >> word) {
+    if (word == "-c") continue;
+    if (word.starts_with("-c") || word.starts_with("--")) word.erase(0, 2);
+    size_t equals = word.find('=');
+    if (equals == std::string::npos) continue;
+    settings->SetDefault(word.substr(0, equals), word.substr(equals + 1));
+  }
+}
+
 }  // namespace
 
 Session::Session(Connection::Socket socket, Host* host,
@@ -110,7 +124,9 @@
       state_.user = option.value;
     } else if (option.key == "database") {
       state_.database = option.value;
-    } else if (option.key != "options" && option.key != "replication") {
+    } else if (option.key == "options") {
+      ApplySwitches(option.value, &state_.settings);
+    } else if (option.key != "replication") {
       state_.settings.SetDefault(option.key, option.value);
     }
   }
--- a/tools/standin/test/server-test.cc
+++ b/tools/standin/test/server-test.cc
@@ -54,9 +54,9 @@
 
 class Client {
  public:
-  explicit Client(TestMember* member)
+  explicit Client(TestMember* member, const std::string& more = "")
       : connection_(PQconnectdb(("host=127.0.0.1 user=u dbname=d port=" +
-                                 std::to_string(member->server().port()))
+                                 std::to_string(member->server().port()) + more)
                                     .c_str())) {}
   ~Client() { PQfinish(connection_); }
   Client(const Client&) = delete;
@@ -345,6 +345,15 @@
   BOOST_TEST(client.Run("select current_setting('my.value')") == "42704");
 }
 
+BOOST_AUTO_TEST_CASE(SettingsComeWithTheStartupPacket) {
+  Client other(&member, " options='-c my.value=x -capplication_name=opt'");
+  BOOST_TEST(other.Run("show my.value") == "x");
+  BOOST_TEST(other.Run("show application_name") == "opt");
+  other.Run("set my.value = 'y'");
+  other.Run("discard all");
+  BOOST_TEST(other.Run("show my.value") == "x");
+}
+
 BOOST_AUTO_TEST_CASE(LargeResultsStreamInBoundedMemory) {
   constexpr int kRows = 20000;
   BOOST_REQUIRE(PQsendQuery(client.get(),
