--- a/callers/src/caller_connection.cc
+++ b/callers/src/caller_connection.cc
@@ -137,6 +137,7 @@
   using_ = false;
   if (in_.empty()) std::string().swap(in_);
   CountInput();
+  if (session_) session_->OnInputUsed();
 }
 
 /// Keeps the input of all callers together within bounds, at the expense of
@@ -250,7 +251,7 @@
   links.write = [this](std::string_view bytes) { Write(bytes); };
   links.finish = [this] { Finish(); };
   links.cut = [this] { Cut(); };
-  links.input_pending = [this] { return !using_ && !in_.empty(); };
+  links.input_pending = [this] { return using_ || !in_.empty(); };
   links.run_after = [this](Duration delay, std::function<void()> action) {
     RunAfter(delay, std::move(action));
   };
--- a/callers/src/caller_server.cc
+++ b/callers/src/caller_server.cc
@@ -136,6 +136,7 @@
 
   void StartDrain(Duration timeout, std::function<void()> done) {
     server_->draining = true;
+    AcceptWaiting();
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     LogLine(LogLevel::kInfo, "callers_draining")
@@ -147,6 +148,18 @@
     PollDrain();
   }
 
+  /// Takes who has connected already, to tell them that the VM stops.
+  void AcceptWaiting() {
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      const std::shared_ptr<ThreadState>& thread = threads_.front();
+      tcp::socket socket(*thread->io);
+      acceptor_.accept(socket, error);
+      if (!error) Serve(std::move(socket), thread);
+    }
+  }
+
   void PollDrain() {
     bool over = server_->admitted == 0 || Now() >= drain_until_;
     if (over) {
--- a/callers/src/caller_session.cc
+++ b/callers/src/caller_session.cc
@@ -47,7 +47,7 @@
 
 bool CallerSession::idle() const {
   return under_way_ == nullptr && queue_.waiting.empty() && !queue_.open &&
-         status() == 'I';
+         owner_status_ == 'I';
 }
 
 char CallerSession::status() const { return block_lost_ ? 'E' : owner_status_; }
--- a/callers/src/caller_session.h
+++ b/callers/src/caller_session.h
@@ -39,7 +39,7 @@
   std::function<void()> finish;
   /// Closes it now: the answer under way can't be made whole.
   std::function<void()> cut;
-  /// Whether bytes of an unfinished message have come.
+  /// Whether bytes have come that OnMessage has not been given.
   std::function<bool()> input_pending;
   /// Runs a function on the session's thread after a while; replaces the one
   /// before.
@@ -59,6 +59,8 @@
   void OnWritten(size_t bytes);
   /// A cancel request with this session's key came.
   void Cancel();
+  /// All messages that have come were given to OnMessage.
+  void OnInputUsed() { LeaveIfIdle(); }
   /// The VM drains: tells the caller to leave as soon as nothing runs.
   void Leave();
   /// The caller is gone.
@@ -69,7 +71,7 @@
     return queue_.waiting_bytes + queue_.tail.bytes.size();
   }
 
-  /// Nothing runs, waits, or is open.
+  /// Nothing runs or waits, and no transaction would be cut.
   bool idle() const;
 
  private:
--- a/callers/test/bench.h
+++ b/callers/test/bench.h
@@ -213,9 +213,10 @@
     return bytes;
   }
 
-  void ReadUntil(const std::string& text) {
+  std::string ReadUntil(const std::string& text) {
     std::string bytes;
     boost::asio::read_until(socket_, boost::asio::dynamic_buffer(bytes), text);
+    return bytes;
   }
 
  private:
--- a/callers/test/caller_server-test.cc
+++ b/callers/test/caller_server-test.cc
@@ -93,6 +93,26 @@
   BOOST_TEST(busy.ExecUntilClosed() == "57P01");
 }
 
+BOOST_AUTO_TEST_CASE(draining_answers_what_has_come) {
+  Bench bench;
+  bench.owner().Play("first", Trick::kHang);
+  RawClient raw(bench.server().port());
+  raw.Send(pgwire::Startup({{"user", "desk"}, {"database", "tickets"}}));
+  raw.Send(pgwire::Query("select first") + pgwire::Query("select second") +
+           pgwire::Query("show cardamomchute.rank") +
+           pgwire::Query("select third"));
+  while (bench.owner().statements().empty()) std::this_thread::yield();
+  bench.server().Drain(Seconds(60), [] {});
+  bench.owner().Release();
+  std::string answers = raw.ReadAll();
+  size_t at = 0;
+  for (const char* part :
+       {"select first", "select second", "urgent", "select third", "57P01"}) {
+    at = answers.find(part, at);
+    BOOST_TEST(at != std::string::npos, part);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(statements_are_counted_by_rank_and_ending) {
   Bench bench;
   Client client(bench.conninfo());
--- a/callers/test/fake_owner.h
+++ b/callers/test/fake_owner.h
@@ -26,7 +26,7 @@
   kResetSent,    ///< ChannelReset after it may have run
   kNotRun,       ///< StatementEnd, kNotRun
   kUnknown,      ///< StatementEnd, kUnknown
-  kHang,         ///< nothing, until it is cancelled
+  kHang,         ///< nothing, until it is cancelled or released
   kHalfAnswer    ///< half a message, then ChannelReset
 };
 
@@ -104,6 +104,23 @@
     return most_outstanding_;
   }
 
+  /// Answers what hangs.
+  void Release() {
+    boost::asio::post(*io_, [this] {
+      std::vector<std::shared_ptr<Channel>> all;
+      {
+        std::lock_guard<std::mutex> lock(mutex_);
+        all = channels_;
+      }
+      for (const std::shared_ptr<Channel>& channel : all) {
+        if (!std::exchange(channel->hung, false)) continue;
+        channel->answer += Answer(channel.get(), &channel->bytes);
+        Stream(channel);
+        End(channel, Ending::kAnswered);
+      }
+    });
+  }
+
   /// Ends every channel, as when the owner's VM is lost.
   void ResetAll(bool sent_nothing) {
     boost::asio::post(*io_, [this, sent_nothing] {
