--- a/callers/test/caller_session-test.cc
+++ b/callers/test/caller_session-test.cc
@@ -243,6 +243,15 @@
   BOOST_TEST(!client.ok());
 }
 
+BOOST_AUTO_TEST_CASE(late_answers_reach_no_other_request) {
+  Bench bench;
+  Client client(bench.conninfo());
+  client.Exec("select 1");
+  bench.owner().Play("select 2", Trick::kLateAnswer);
+  BOOST_TEST(client.Exec("select 2").value == "select 2");
+  BOOST_TEST(client.Exec("select 3").value == "select 3");
+}
+
 BOOST_AUTO_TEST_CASE(what_never_finds_an_owner_is_not_run) {
   std::shared_ptr<ClusterView> view = TestView();
   view->document->document.ranks[0].target = Millis(50);
--- a/callers/test/fake_owner.h
+++ b/callers/test/fake_owner.h
@@ -27,7 +27,8 @@
   kNotRun,       ///< StatementEnd, kNotRun
   kUnknown,      ///< StatementEnd, kUnknown
   kHang,         ///< nothing, until it is cancelled or released
-  kHalfAnswer    ///< half a message, then ChannelReset
+  kHalfAnswer,   ///< half a message, then ChannelReset
+  kLateAnswer    ///< first the end of an answer to the statement before
 };
 
 class FakeOwner {
@@ -215,6 +216,13 @@
       channel->hung = true;
       return;
     }
+    if (trick == Trick::kLateAnswer) {
+      uint64_t before = channel->statement.number - 1;
+      channel->sink(AnswerData{before, pgwire::DataRow({"late"})});
+      StatementEnd end;
+      end.number = before;
+      channel->sink(end);
+    }
     if (trick == Trick::kHalfAnswer) {
       std::string row = pgwire::DataRow({"half"});
       channel->sink(AnswerData{channel->statement.number, row.substr(0, 8)});
