--- a/callers/src/caller_session.h
+++ b/callers/src/caller_session.h
@@ -137,6 +137,8 @@
   void FailAfterReset(const ChannelReset& reset);
   void Fail(const pgwire::Report& report, bool lose_block, bool open_at_owner);
   void LoseBlock(bool tell_owner);
+  bool RollsBackWhatIsGone() const;
+  void AnswerRollback(bool open_at_owner);
 
   /// The transaction status the caller sees.
   char status() const;
--- a/callers/src/caller_session_owner.cc
+++ b/callers/src/caller_session_owner.cc
@@ -6,6 +6,7 @@
 
 #include "caller_session.h"
 #include "content_hash.h"
+#include "local_answer.h"
 #include "session_reports.h"
 
 namespace cardamomchute {
@@ -230,6 +231,9 @@
   parts_->counts->Count(under_way_->statement.rank,
                         not_run ? EntryEnding::kNotRun : EntryEnding::kUnknown);
   bool in_block = under_way_->in_block;
+  if (RollsBackWhatIsGone()) {
+    return AnswerRollback(end.transaction_status != 'I');
+  }
   bool over = under_way_->plan.commits && end.transaction_status == 'I';
   bool open_at_owner = end.transaction_status != 'I';
   Fail(EndingReport(end, in_block && !under_way_->plan.commits),
@@ -281,7 +285,28 @@
   FailAfterReset(reset);
 }
 
+/// Whether all that is under way is a ROLLBACK of a transaction that is gone:
+/// what it asks for has happened.
+bool CallerSession::RollsBackWhatIsGone() const {
+  const UnderWay& now = *under_way_;
+  return now.in_block && !now.answered && now.repeatable &&
+         now.plan.ends_block && !now.plan.commits;
+}
+
+void CallerSession::AnswerRollback(bool open_at_owner) {
+  std::unique_ptr<UnderWay> ended = std::move(under_way_);
+  owner_status_ = 'I';
+  OnBlockLost(&state_);
+  LocalAnswer answer =
+      AnswerLocally(ended->statement.bytes, ended->plan, state_,
+                    [this](const SqlPart& part) { return RunLocally(part); });
+  if (open_at_owner && to_owner_) SendRollback();
+  Answer(answer.bytes, status());
+  Pump();
+}
+
 void CallerSession::FailAfterReset(const ChannelReset& reset) {
+  if (RollsBackWhatIsGone()) return AnswerRollback(false);
   const UnderWay& now = *under_way_;
   bool read = now.plan.kind == StatementKind::kRead;
   bool not_run = reset.sent_nothing && !now.in_block;
--- a/callers/test/caller_session-test.cc
+++ b/callers/test/caller_session-test.cc
@@ -243,6 +243,22 @@
   BOOST_TEST(!client.ok());
 }
 
+BOOST_AUTO_TEST_CASE(rolling_back_what_is_gone_succeeds) {
+  Bench bench;
+  Client client(bench.conninfo());
+  for (Trick trick : {Trick::kResetSent, Trick::kResetUnsent, Trick::kNotRun,
+                      Trick::kUnknown}) {
+    client.Exec("begin");
+    client.Exec("insert a");
+    bench.owner().Play("rollback", trick);
+    Answer answer = client.Exec("rollback");
+    BOOST_TEST(answer.tag == "ROLLBACK");
+    BOOST_TEST(answer.sqlstate.empty());
+    BOOST_TEST(client.status() == PQTRANS_IDLE);
+    BOOST_TEST(client.Exec("select 1").value == "select 1");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(late_answers_reach_no_other_request) {
   Bench bench;
   Client client(bench.conninfo());
