--- a/callers/test/fake_owner.h
+++ b/callers/test/fake_owner.h
@@ -26,8 +26,9 @@
   kResetSent,    ///< ChannelReset after it may have run
   kNotRun,       ///< StatementEnd, kNotRun
   kUnknown,      ///< StatementEnd, kUnknown
-  kHang,         ///< nothing, until it is cancelled
-  kHalfAnswer    ///< half a message, then ChannelReset
+  kHang,         ///< nothing, until it is cancelled or released
+  kHalfAnswer,   ///< half a message, then ChannelReset
+  kLateAnswer    ///< first the end of an answer to the statement before
 };
 
 class FakeOwner {
@@ -104,6 +105,29 @@
     return most_outstanding_;
   }
 
+  /// Bytes of all answers so far.
+  size_t sent_bytes() const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return sent_bytes_;
+  }
+
+  /// Answers what hangs.
+  void Release() {
+    boost::asio::post(*io_, [this] {
+      std::vector<std::shared_ptr<Channel>> all;
+      {
+        std::lock_guard<std::mutex> lock(mutex_);
+        all = channels_;
+      }
+      for (const std::shared_ptr<Channel>& channel : all) {
+        if (!std::exchange(channel->hung, false)) continue;
+        channel->answer += Answer(channel.get(), &channel->bytes);
+        Stream(channel);
+        End(channel, Ending::kAnswered);
+      }
+    });
+  }
+
   /// Ends every channel, as when the owner's VM is lost.
   void ResetAll(bool sent_nothing) {
     boost::asio::post(*io_, [this, sent_nothing] {
@@ -198,6 +222,13 @@
       channel->hung = true;
       return;
     }
+    if (trick == Trick::kLateAnswer) {
+      uint64_t before = channel->statement.number - 1;
+      channel->sink(AnswerData{before, pgwire::DataRow({"late"})});
+      StatementEnd end;
+      end.number = before;
+      channel->sink(end);
+    }
     if (trick == Trick::kHalfAnswer) {
       std::string row = pgwire::DataRow({"half"});
       channel->sink(AnswerData{channel->statement.number, row.substr(0, 8)});
@@ -222,6 +253,7 @@
     channel->window -= static_cast<int64_t>(bytes.size());
     {
       std::lock_guard<std::mutex> lock(mutex_);
+      sent_bytes_ += bytes.size();
       most_outstanding_ = std::max<int64_t>(
           most_outstanding_, kChannelWindowBytes - channel->window);
     }
@@ -383,6 +415,7 @@
   size_t closed_ = 0;
   size_t cancelled_ = 0;
   int64_t most_outstanding_ = 0;
+  size_t sent_bytes_ = 0;
 };
 
 }  // namespace cardamomchute
