Greet agents before a long view; push the coming of VMs less often

Members now greet first. Registrations and liveness are pushed every 200 ms at most, and an answer is preceded by a push to the one who asked only.

--- a/peers/include/cardamomchute/peers/control_member.h
+++ b/peers/include/cardamomchute/peers/control_member.h
@@ -131,6 +131,7 @@
   std::vector<ReadyAnswer> ready_;
   bool drive_due_ = false;
   bool push_due_ = false;
+  bool push_urgent_ = false;
   bool stopped_ = false;
   Time last_push_;
   std::function<void(Error)> on_failure_;
--- a/peers/include/cardamomchute/peers/control_messages.h
+++ b/peers/include/cardamomchute/peers/control_messages.h
@@ -16,7 +16,8 @@
 
 namespace cardamomchute {
 
-/// First on a link between members, and again at intervals.
+/// First on a link between members, and again at intervals; also a member's
+/// first answer to an agent.
 struct MemberHello {
   MemberId id;
   VmId vm;
--- a/peers/src/control_calls.cc
+++ b/peers/src/control_calls.cc
@@ -27,8 +27,10 @@
 
 void ControlLeader::ProposeFor(const LinkPtr& link, uint64_t id,
                                const ControlCommand& command) {
-  std::optional<LogIndex> index =
-      member_.ProposeCommand(command, [link, id](const ControlAnswer& answer) {
+  std::optional<LogIndex> index = member_.ProposeCommand(
+      command, [member = &member_, link, id](const ControlAnswer& answer) {
+        // Whoever asked has the change in its view before the answer.
+        member->PushTo(link);
         if (!answer) return SendAnswer(link, id, answer.error());
         const SubmitOutcome& outcome = answer.value();
         SendAnswer(link, id,
--- a/peers/src/control_member.cc
+++ b/peers/src/control_member.cc
@@ -23,6 +23,15 @@
 /// The founding snapshot of a new system stands at this index.
 constexpr LogIndex kFoundingIndex(1);
 
+/// Coming and going of VMs is pushed less often than what statements need: a
+/// whole fleet that starts would else be told of each VM one by one.
+constexpr Duration kLazyPushInterval = Millis(200);
+
+bool IsUrgent(const ControlCommand& command) {
+  return !std::holds_alternative<RegisterVm>(command) &&
+         !std::holds_alternative<ForgetVm>(command);
+}
+
 uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32) ^ device();
@@ -202,8 +211,10 @@
 }
 
 void ControlMember::OnAgentHello(const LinkPtr& link, const AgentHello& hello) {
+  // A link takes only a short frame first; a view may be long.
+  link->Send(FrameType::kControl, Greeting());
   sessions_->Add(link, hello);
-  push_due_ = true;
+  PushTo(link);
   if (!leader_) SendRedirect(link);
   ScheduleDrive();
 }
@@ -341,6 +352,7 @@
     if (!command) return Fail(command.error());
     outcome = Apply(state_, command.value());
     push_due_ = true;
+    if (IsUrgent(command.value())) push_urgent_ = true;
   }
   if (leader_) leader_->OnApplied(entry.index);
   auto it = pending_.find(entry.index);
@@ -433,8 +445,10 @@
   Time now = Now();
   const SoftState* soft = leader_ ? &leader_->soft() : nullptr;
   bool due = push_due_ || soft != nullptr;
-  if (!due || now - last_push_ < kTick) return;
+  Duration interval = push_urgent_ ? kTick : kLazyPushInterval;
+  if (!due || now - last_push_ < interval) return;
   push_due_ = false;
+  push_urgent_ = false;
   last_push_ = now;
   sessions_->PushAll(PushSource{state_, soft, quorum_.vote.term, now});
 }
@@ -444,12 +458,7 @@
   sessions_->Push(link, PushSource{state_, soft, quorum_.vote.term, Now()});
 }
 
-/// Whoever asked sees the change in its view before the answer.
 void ControlMember::DeliverAnswers() {
-  if (ready_.empty()) return;
-  const SoftState* soft = leader_ ? &leader_->soft() : nullptr;
-  sessions_->PushAll(PushSource{state_, soft, quorum_.vote.term, Now()});
-  push_due_ = false;
   std::vector<ReadyAnswer> ready = std::exchange(ready_, {});
   for (ReadyAnswer& item : ready) item.answer(item.outcome);
 }
--- a/peers/test/control_agent-test.cc
+++ b/peers/test/control_agent-test.cc
@@ -201,6 +201,17 @@
   BOOST_TEST(VersionAt(again) == 5u);
 }
 
+BOOST_AUTO_TEST_CASE(large_document_reaches_agents_that_connect_later) {
+  TestCluster cluster(3);
+  TestCluster::NodePtr a = cluster.StartAgent("vm-a");
+  std::string text = "large";
+  for (size_t i = 0; i < 5000; ++i) text += " group-" + std::to_string(i);
+  BOOST_REQUIRE(cluster.Submit(a, 0, "s1", text));
+  TestCluster::NodePtr b = cluster.StartAgent("vm-b");
+  BOOST_REQUIRE(cluster.RunUntil([&] { return b->agent->Ready(); }));
+  BOOST_TEST(b->agent->views().Get()->document->text == text);
+}
+
 BOOST_AUTO_TEST_CASE(agent_of_a_member_cut_off_never_goes_back) {
   TestCluster cluster(3);
   TestCluster::NodePtr a = cluster.StartAgent("vm-a");
