--- a/operators/include/cardamomchute/operators/render.h
+++ b/operators/include/cardamomchute/operators/render.h
@@ -14,7 +14,8 @@
 /// remedies. VMs that need no attention are only counted.
 std::string RenderStatus(const StatusReport& report);
 
-/// What in a report needs a person, beyond what the control members found.
+/// What in a report needs a person, beyond what the control members found: a
+/// group or member that `report.problems` names already is left out.
 std::vector<Problem> FindProblems(const StatusReport& report);
 
 std::string RenderHistory(const std::vector<DocumentRecord>& history,
--- a/operators/src/cli_run.cc
+++ b/operators/src/cli_run.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <random>
@@ -169,18 +168,10 @@
   return PrintOutcome(run, promotion.id, Promote(run.client(), promotion));
 }
 
-bool IsListed(const std::vector<Problem>& problems, const std::string& what) {
-  return std::any_of(
-      problems.begin(), problems.end(),
-      [&](const Problem& problem) { return problem.what == what; });
-}
-
 Result<StatusReport> FullStatus(const Run& run) {
   BOOST_OUTCOME_TRY(report, GetStatus(run.client(), run.command.environment));
-  for (Problem& problem : FindProblems(report)) {
-    if (!IsListed(report.problems, problem.what))
-      report.problems.push_back(std::move(problem));
-  }
+  std::vector<Problem> found = FindProblems(report);
+  report.problems.insert(report.problems.end(), found.begin(), found.end());
   return report;
 }
 
--- a/operators/src/render.cc
+++ b/operators/src/render.cc
@@ -125,25 +125,52 @@
   return out;
 }
 
-void FindGroupProblems(const ClusterView& view,
-                       std::vector<Problem>* problems) {
+/// Adds to what the control members reported, once for each subject.
+class ProblemList {
+ public:
+  explicit ProblemList(const std::vector<Problem>& reported)
+      : reported_(reported) {}
+
+  void Add(const std::string& subject, const std::string& what,
+           const std::string& remedy) {
+    if (!IsReported(subject)) added_.push_back({subject + " " + what, remedy});
+  }
+  std::vector<Problem> Take() { return std::move(added_); }
+
+ private:
+  bool IsReported(const std::string& subject) const {
+    return std::any_of(
+        reported_.begin(), reported_.end(), [&](const Problem& problem) {
+          bool same = problem.what.compare(0, subject.size(), subject) == 0;
+          if (!same || problem.what.size() == subject.size()) return same;
+          // "group a" is another subject than "group a2".
+          char next = problem.what[subject.size()];
+          return next == ' ' || next == '#';
+        });
+  }
+
+  const std::vector<Problem>& reported_;
+  std::vector<Problem> added_;
+};
+
+void FindGroupProblems(const ClusterView& view, ProblemList* problems) {
   if (!view.document) return;
   for (const GroupSpec& spec : view.document->document.groups) {
     auto it = view.groups.find(spec.id);
     bool owned = it != view.groups.end() && !it->second.owner.empty();
     bool has_primary = it != view.groups.end() && !it->second.primary.empty();
-    std::string name = "group " + spec.id.value();
+    std::string subject = "group " + spec.id.value();
     if (CountEndpoints(view, spec.id).all == 0) {
-      problems->push_back(
-          {name + " has no members", "let its endpoints announce themselves"});
+      problems->Add(subject, "has no members",
+                    "let its endpoints announce themselves");
     } else if (!owned) {
-      problems->push_back({name + " has no owner",
-                           "check that entry VMs are alive and reach the "
-                           "control members"});
+      problems->Add(subject, "has no owner",
+                    "check that entry VMs are alive and reach the control "
+                    "members");
     } else if (!has_primary) {
-      problems->push_back({name + " has no primary",
-                           "check that one of its members is a primary and "
-                           "that the owner reaches it"});
+      problems->Add(subject, "has no primary",
+                    "check that one of its members is a primary and that the "
+                    "owner reaches it");
     }
   }
 }
@@ -151,22 +178,20 @@
 }  // namespace
 
 std::vector<Problem> FindProblems(const StatusReport& report) {
-  std::vector<Problem> problems;
+  ProblemList problems(report.problems);
   const ClusterView& view = report.view;
   if (!view.document) {
-    problems.push_back(
-        {"no document is accepted", "cardamomchute submit --environment " +
-                                        view.environment.value() +
-                                        " --replaces 0 --file FILE"});
+    problems.Add("environment " + view.environment.value(), "has no document",
+                 "cardamomchute submit --environment " +
+                     view.environment.value() + " --replaces 0 --file FILE");
   }
   for (const ControlMemberStatus& member : report.members) {
     if (member.reachable) continue;
-    problems.push_back(
-        {"control member " + member.id.value() + " does not answer",
-         "start it again, or replace it if its disk is lost"});
+    problems.Add("control member " + member.id.value(), "does not answer",
+                 "start it again, or replace it if its disk is lost");
   }
   FindGroupProblems(view, &problems);
-  return problems;
+  return problems.Take();
 }
 
 std::string RenderStatus(const StatusReport& report) {
--- a/operators/test/render-test.cc
+++ b/operators/test/render-test.cc
@@ -58,6 +58,17 @@
     BOOST_TEST(!problem.remedy.empty());
 }
 
+BOOST_AUTO_TEST_CASE(what_the_control_members_found_is_not_repeated) {
+  StatusReport report = SampleStatus();
+  report.view.groups[GroupId("tickets1")].primary = EndpointId();
+  report.problems = {{"control member control-2#1 does not answer", "start"},
+                     {"group tickets1 has no known primary", "announce"}};
+  BOOST_TEST(FindProblems(report).empty());
+  report.problems = {{"group tickets10 has no known primary", "announce"}};
+  BOOST_TEST(HasProblem(FindProblems(report), "group tickets1 "));
+  BOOST_TEST(HasProblem(FindProblems(report), "control-2"));
+}
+
 BOOST_AUTO_TEST_CASE(a_sound_system_has_no_problems) {
   StatusReport report = SampleStatus();
   report.members.pop_back();
