--- /dev/null
+++ b/policy/test/failover-test.cc
@@ -0,0 +1,198 @@
+#include "cardamomchute/policy/failover.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cardamomchute {
+namespace {
+
+using Kind = FailoverAction::Kind;
+using Event = FailoverEvent::Kind;
+
+struct Machine {
+  FailoverState state;
+  FailoverInputs inputs;
+
+  Machine() {
+    inputs.now = Time(10000);
+    inputs.primary = EndpointId("p");
+    inputs.term = Term(1);
+    inputs.members = {Member("p", 100), Member("a", 90), Member("b", 95)};
+    inputs.members[0].is_primary = true;
+  }
+
+  MemberHealth Member(const std::string& id, uint64_t received) const {
+    MemberHealth member;
+    member.id = EndpointId(id);
+    member.answered = inputs.now;
+    member.received = Floor{Term(1), Position(received)};
+    return member;
+  }
+
+  FailoverAction Next() { return NextFailoverAction(&state, inputs); }
+  void Feed(Event kind, bool ok, uint64_t term = 0) {
+    OnFailoverEvent(&state, FailoverEvent{kind, ok, Term(term)}, inputs.now);
+  }
+  void Pass(Duration time) {
+    inputs.now = inputs.now + time;
+    for (MemberHealth& member : inputs.members) {
+      if (!member.silent_since && !member.refused) member.answered = inputs.now;
+    }
+  }
+  bool MayUse() const { return MayUsePrimary(state, inputs); }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_healthy_primary_is_left_alone) {
+  Machine m;
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  BOOST_TEST(m.MayUse());
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_primary_is_replaced_step_by_step) {
+  Machine m;
+  m.inputs.members[0].refused = true;
+  BOOST_TEST((m.Next().kind == Kind::kAskObservers));
+  BOOST_TEST((m.Next().kind == Kind::kNone));  // one step at a time
+  BOOST_TEST(m.MayUse());
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST(!m.MayUse());
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+  BOOST_TEST(intent.term == Term(1));
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  m.Feed(Event::kIntended, true);
+  FailoverAction promote = m.Next();
+  BOOST_TEST((promote.kind == Kind::kPromote));
+  BOOST_TEST(promote.endpoint == EndpointId("b"));
+  m.Feed(Event::kPromoted, true, 2);
+  FailoverAction record = m.Next();
+  BOOST_TEST((record.kind == Kind::kProposePrimary));
+  BOOST_TEST(record.term == Term(2));
+  m.inputs.intent.reset();
+  m.inputs.primary = EndpointId("b");
+  m.inputs.term = Term(2);
+  m.Feed(Event::kRecorded, true);
+  BOOST_TEST(m.MayUse());
+  // What it said before its promotion does not count against it.
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(a_stall_of_half_a_second_is_no_failure) {
+  Machine m;
+  m.inputs.members[0].silent_since = m.inputs.now;
+  m.Pass(Millis(500));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(Millis(200));
+  BOOST_TEST((m.Next().kind == Kind::kAskObservers));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_others_reach_moves_the_ownership) {
+  Machine m;
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, true);
+  BOOST_TEST((m.Next().kind == Kind::kProposeRelease));
+  BOOST_TEST(!m.MayUse());
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_back_while_observers_were_asked_stays) {
+  Machine m;
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.inputs.members[0].refused = false;
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  BOOST_TEST(m.MayUse());
+}
+
+BOOST_AUTO_TEST_CASE(an_intent_forbids_the_old_primary) {
+  Machine m;
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  BOOST_TEST(!m.MayUse());
+  FailoverAction promote = m.Next();
+  BOOST_TEST((promote.kind == Kind::kPromote));
+  BOOST_TEST(promote.endpoint == EndpointId("a"));
+}
+
+BOOST_AUTO_TEST_CASE(a_promoted_candidate_is_recorded_not_promoted_again) {
+  Machine m;
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(2), Position(90)};
+  FailoverAction record = m.Next();
+  BOOST_TEST((record.kind == Kind::kProposePrimary));
+  BOOST_TEST(record.term == Term(2));
+}
+
+BOOST_AUTO_TEST_CASE(an_unreachable_candidate_is_replaced_after_a_while) {
+  Machine m;
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  m.inputs.members[1].refused = true;
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kCandidateTimeout);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_step_is_tried_again_after_a_pause) {
+  Machine m;
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.Next();
+  m.Feed(Event::kIntended, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kFailoverRetry);
+  BOOST_TEST((m.Next().kind == Kind::kAskObservers));
+}
+
+BOOST_AUTO_TEST_CASE(without_a_candidate_nothing_is_promoted) {
+  Machine m;
+  for (MemberHealth& member : m.inputs.members) member.refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  BOOST_TEST(!m.MayUse());
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_primary_is_the_sole_claimant_of_the_top_term) {
+  Machine m;
+  m.inputs.primary = EndpointId();
+  m.inputs.term = Term(0);
+  FailoverAction found = m.Next();
+  BOOST_TEST((found.kind == Kind::kProposePrimary));
+  BOOST_TEST(found.endpoint == EndpointId("p"));
+  Machine tied;
+  tied.inputs.primary = EndpointId();
+  tied.inputs.term = Term(0);
+  tied.inputs.members[1].is_primary = true;
+  BOOST_TEST((tied.Next().kind == Kind::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(a_second_claimant_never_unseats_a_healthy_primary) {
+  Machine m;
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(5), Position(90)};
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_primary_hands_over_when_it_is_idle) {
+  Machine m;
+  m.inputs.members[0].leaving = true;
+  m.inputs.members[2].received = m.inputs.members[0].received;
+  m.inputs.primary_busy = true;
+  m.Next();
+  m.Pass(Millis(1000));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.inputs.primary_busy = false;
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kLeavingIdle);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/policy/test/routing-test.cc
@@ -0,0 +1,124 @@
+#include "cardamomchute/policy/routing.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cardamomchute {
+namespace {
+
+using To = ReadRoute::To;
+
+ReplicaView Replica(const std::string& id, uint64_t position) {
+  ReplicaView view;
+  view.id = EndpointId(id);
+  view.usable = true;
+  view.replayed = Floor{Term(1), Position(position)};
+  view.staleness = Millis(30);
+  view.free_slots = 2;
+  return view;
+}
+
+ReadRequest AnyAge(uint64_t position) {
+  ReadRequest read;
+  read.floor = Floor{Term(1), Position(position)};
+  read.max_staleness = Millis(-1);
+  return read;
+}
+
+PrimaryView Primary() { return PrimaryView{true, 2, 2, false}; }
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_replica_at_the_floor_serves) {
+  ReadRoute route =
+      RouteRead(AnyAge(10), {Replica("a", 9), Replica("b", 10)}, Primary());
+  BOOST_TEST((route.to == To::kReplica));
+  BOOST_TEST(route.replica == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(floor_a_replica_behind_it_never_serves) {
+  ReadRoute route = RouteRead(AnyAge(10), {Replica("a", 9)}, Primary());
+  BOOST_TEST((route.to == To::kPrimary));
+}
+
+BOOST_AUTO_TEST_CASE(an_exact_read_goes_to_the_primary) {
+  ReadRequest read = AnyAge(0);
+  read.max_staleness = Duration(0);
+  BOOST_TEST(
+      (RouteRead(read, {Replica("a", 10)}, Primary()).to == To::kPrimary));
+}
+
+BOOST_AUTO_TEST_CASE(a_staleness_bound_excludes_old_and_unknown_ages) {
+  ReadRequest read = AnyAge(0);
+  read.max_staleness = Millis(29);
+  ReplicaView old_one = Replica("a", 10);
+  old_one.lag = Millis(30);
+  ReplicaView unknown = Replica("b", 10);
+  unknown.staleness.reset();
+  unknown.lag = Millis(30);
+  BOOST_TEST(
+      (RouteRead(read, {old_one, unknown}, Primary()).to == To::kPrimary));
+  read.max_staleness = Millis(30);
+  BOOST_TEST(RouteRead(read, {old_one, unknown}, Primary()).replica ==
+             EndpointId("a"));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_not_usable_never_serves) {
+  ReplicaView leaving = Replica("a", 10);
+  leaving.usable = false;
+  BOOST_TEST((RouteRead(AnyAge(0), {leaving}, Primary()).to == To::kPrimary));
+}
+
+BOOST_AUTO_TEST_CASE(it_waits_for_a_replica_about_to_catch_up_only) {
+  ReadRequest read = AnyAge(10);
+  read.wait_left = Millis(60);
+  ReplicaView near_by = Replica("a", 9);
+  near_by.lag = Millis(50);
+  read.floor_age = Millis(20);
+  BOOST_TEST(
+      (RouteRead(read, {near_by}, Primary()).to == To::kWaitForPosition));
+  near_by.lag = Millis(5000);
+  BOOST_TEST((RouteRead(read, {near_by}, Primary()).to == To::kPrimary));
+  near_by.lag = Millis(50);
+  read.wait_left = Millis(0);
+  BOOST_TEST((RouteRead(read, {near_by}, Primary()).to == To::kPrimary));
+}
+
+BOOST_AUTO_TEST_CASE(an_unplaced_floor_stays_with_its_last_replica) {
+  ReadRequest read = AnyAge(0);
+  read.floor.reset();
+  read.last_replica = EndpointId("b");
+  ReadRoute route =
+      RouteRead(read, {Replica("a", 99), Replica("b", 1)}, Primary());
+  BOOST_TEST(route.replica == EndpointId("b"));
+  read.last_replica = EndpointId();
+  BOOST_TEST(
+      (RouteRead(read, {Replica("a", 99)}, Primary()).to == To::kPrimary));
+}
+
+BOOST_AUTO_TEST_CASE(free_slots_then_zone_then_freshness_choose) {
+  ReplicaView busy = Replica("a", 10);
+  busy.free_slots = 1;
+  ReplicaView far_off = Replica("b", 10);
+  ReplicaView close_by = Replica("c", 10);
+  close_by.same_zone = true;
+  BOOST_TEST(
+      RouteRead(AnyAge(0), {busy, far_off, close_by}, Primary()).replica ==
+      EndpointId("c"));
+  BOOST_TEST(
+      RouteRead(AnyAge(0), {Replica("a", 10), Replica("b", 11)}, Primary())
+          .replica == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(busy_replicas_overflow_to_an_idle_primary_in_time) {
+  ReplicaView busy = Replica("a", 10);
+  busy.free_slots = 0;
+  ReadRequest read = AnyAge(0);
+  BOOST_TEST((RouteRead(read, {busy}, Primary()).to == To::kWaitForSlot));
+  read.waits_for_slot = true;
+  BOOST_TEST((RouteRead(read, {busy}, Primary()).to == To::kPrimary));
+  PrimaryView wanted = Primary();
+  wanted.wanted_by_writes = true;
+  BOOST_TEST((RouteRead(read, {busy}, wanted).to == To::kWaitForSlot));
+}
+
+}  // namespace cardamomchute
