--- a/policy/include/cardamomchute/policy/lease.h
+++ b/policy/include/cardamomchute/policy/lease.h
@@ -30,6 +30,10 @@
 /// Between a VM's report that it knows of a revocation and its effect there.
 inline constexpr Duration kRevocationDelay = Millis(200);
 
+/// A new leader waits so long for VMs to report before it gives groups that
+/// nobody owns to the few it has heard.
+inline constexpr Duration kGatherTime = Millis(700);
+
 /// The end that a VM counts with, for a renewal it sent at `sent`.
 constexpr Time LeaseEnd(Time sent, Duration lease) {
   return sent + lease - kDriftMargin;
@@ -41,7 +45,7 @@
   Incarnation incarnation;
   Environment environment;
   Zone zone;
-  Address peer_address;
+  Address peer_address;  ///< port 0: serves no statements, so owns no group
   Version applied;
   Revision known;  ///< revision of the view it has published
   bool draining = false;
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -1,5 +1,6 @@
 #include "cluster.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <filesystem>
@@ -14,6 +15,8 @@
 
 constexpr Duration kHttpTimeout = Seconds(5);
 constexpr int kSlots = 4;
+/// A member's replication port less its PostgreSQL port.
+constexpr int kReplicationOffset = 7;
 
 void Pause() { std::this_thread::sleep_for(std::chrono::milliseconds(50)); }
 
@@ -39,6 +42,11 @@
          "\"\n"
          "[[access]]\nusers = [\"desk\"]\ngroups = [\"tickets\"]\n"
          "rank = \"urgent\"\nmax_staleness_ms = -1\nwrites = true\n"
+         "[[access]]\nusers = [\"loadgen\"]\napplications = [\"browse\"]\n"
+         "groups = [\"tickets\"]\nrank = \"browse\"\n"
+         "max_staleness_ms = 2000\nwrites = true\n"
+         "[[access]]\nusers = [\"loadgen\"]\ngroups = [\"tickets\"]\n"
+         "rank = \"urgent\"\nmax_staleness_ms = 0\nwrites = true\n"
          "[[access]]\nusers = [\"viewer\"]\ngroups = [\"tickets\"]\n"
          "rank = \"browse\"\nmax_staleness_ms = 5000\nwrites = false\n";
 }
@@ -69,10 +77,10 @@
   for (int i = 0; i < shape.endpoints; ++i) {
     EndpointProcess endpoint;
     endpoint.id = "db-" + std::to_string(i + 1);
-    endpoint.port = FreePort();
-    endpoint.proxy_port = FreePort();
+    endpoint.port = FreePort(kReplicationOffset);
+    endpoint.proxy_port = FreePort(kReplicationOffset);
     endpoint.admin_port = FreePort();
-    endpoint.route = i;
+    endpoint.route = 2 * i;
     endpoints.push_back(std::move(endpoint));
   }
   WriteSettings();
@@ -126,12 +134,27 @@
                                 folder_ + "/" + endpoint.id + ".log");
 }
 
+void Cluster::StartFollowing(EndpointProcess& endpoint,
+                             const EndpointProcess& primary) {
+  std::vector<std::string>::iterator option =
+      std::find(endpoint.args.begin(), endpoint.args.end(), "--primary");
+  if (option != endpoint.args.end()) {
+    endpoint.args.erase(option, option + 2);
+  }
+  endpoint.args.push_back("--primary");
+  endpoint.args.push_back(Local(primary.proxy_port + kReplicationOffset));
+  StartEndpoint(endpoint);
+}
+
 void Cluster::StartProxy() {
   proxy_admin_ = FreePort();
   std::vector<std::string> args = {"--admin", Local(proxy_admin_)};
   for (const EndpointProcess& endpoint : endpoints) {
     args.push_back("--route");
     args.push_back(Local(endpoint.proxy_port) + "=" + Local(endpoint.port));
+    args.push_back("--route");
+    args.push_back(Local(endpoint.proxy_port + kReplicationOffset) + "=" +
+                   Local(endpoint.port + kReplicationOffset));
   }
   proxy_ = std::make_unique<Process>("cardamomchute-faultproxy", args,
                                      folder_ + "/faultproxy.log");
@@ -155,6 +178,8 @@
                      Local(endpoint.port),
                      "--announce-address",
                      Local(endpoint.proxy_port),
+                     "--repl-offset",
+                     std::to_string(kReplicationOffset),
                      "--admin",
                      Local(endpoint.admin_port),
                      "--slots",
@@ -175,7 +200,8 @@
     }
     if (index++ > 0) {
       endpoint.args.push_back("--primary");
-      endpoint.args.push_back(Local(endpoints[0].port));
+      endpoint.args.push_back(
+          Local(endpoints[0].proxy_port + kReplicationOffset));
     }
     StartEndpoint(endpoint);
   }
@@ -207,6 +233,37 @@
   BOOST_REQUIRE(response.value().status == 200);
 }
 
+void Cluster::Direct(const EndpointProcess& endpoint,
+                     const std::string& command) {
+  Result<HttpResponse> response =
+      CallHttp(Address{"127.0.0.1", endpoint.admin_port}, "POST", "/" + command,
+               "", kHttpTimeout);
+  BOOST_REQUIRE(response.has_value());
+  BOOST_REQUIRE(response.value().status == 200);
+}
+
+std::string Cluster::LeadingControl() {
+  for (int i = 0; i < kGiveUpSeconds; ++i) {
+    RunOutcome status = Cli({"status", "--environment", "production"});
+    nlohmann::json json = nlohmann::json::parse(status.output, nullptr, false);
+    if (json.is_object()) {
+      for (const nlohmann::json& member : json["members"]) {
+        if (member.value("leader", false)) return member["id"];
+      }
+    }
+    Pause();
+  }
+  BOOST_FAIL("status names no leading control member");
+  return "";
+}
+
+VmProcess& Cluster::Control(const std::string& id) {
+  for (VmProcess& vm : control) {
+    if (vm.id == id) return vm;
+  }
+  throw std::runtime_error("no control member " + id);
+}
+
 RunOutcome Cluster::Cli(std::vector<std::string> args) {
   std::string servers;
   for (const VmProcess& vm : control) {
@@ -226,7 +283,7 @@
     RunOutcome status = Cli({"status", "--environment", "production"});
     nlohmann::json json = nlohmann::json::parse(status.output, nullptr, false);
     if (json.is_object()) {
-      for (const nlohmann::json& entry : json["groups"]) {
+      for (const nlohmann::json& entry : json["view"]["groups"]) {
         bool found = entry.value("id", "") == group;
         if (found && !entry.value(field, "").empty()) return entry[field];
       }
--- a/tools/standin/src/server.h
+++ b/tools/standin/src/server.h
@@ -26,6 +26,8 @@
   Zone zone;
   Environment environment;
   Address listen;
+  /// Where callers of the member reach it, when that is not `listen`.
+  std::optional<Address> announce_address;
   Address repl_listen;
   /// Replication address of the member to follow; absent: starts as primary.
   std::optional<Address> primary;
@@ -51,6 +53,9 @@
   /// Announces the leave, lets sessions finish, then stops the io_context.
   void Shutdown();
 
+  /// A member's replication port less its PostgreSQL port, from now on.
+  void SetReplOffset(int offset) { options_.repl_offset = offset; }
+
   uint16_t port() const { return port_; }
   uint16_t repl_port() const { return repl_port_; }
   Member& member() { return member_; }
@@ -66,7 +71,6 @@
   boost::asio::io_context& io_;
   ServerOptions options_;
   Member member_;
-  Slots slots_;
   Host host_;
   SessionRegistry registry_;
   Follower follower_;
