Run statements with an operation key at most once

The key is recorded in the group's own database, in the transaction that the statement is in; a key recorded before refuses the statement with 23505. The table is made once a term. Connections are reset only after statements that may leave state behind, as the channel now says.

--- a/endpoints/src/answers.cc
+++ b/endpoints/src/answers.cc
@@ -35,7 +35,7 @@
 
 void Group::OnPiece(const ChannelPtr& channel, const JobPtr& job, char type,
                     bool first, std::string_view piece) {
-  if (channel->job != job || job->setup_error) return;
+  if (channel->job != job || job->setup_error || job->key_error) return;
   if (first && type == 'C') {
     ++job->completions;
     if (piece.size() > kHeaderBytes) {
@@ -62,6 +62,8 @@
   job->status = end.status;
   job->failed = end.error.has_value();
   NoteBatchEnd(job->connection.get(), job->parsed, job->failed, job->tag);
+  // The transaction that the owner began for an operation key still is open.
+  if (job->wrapped) return Settle(channel, job);
   if (NeedsPosition(*job) && !job->position_asked) {
     std::string bytes;
     std::vector<Exchange> exchanges;
@@ -85,14 +87,29 @@
 
 void Group::Settle(const ChannelPtr& channel, const JobPtr& job) {
   if (!job->answered) return;
-  bool outstanding = job->position_asked && !job->position_done;
+  bool outstanding = (job->position_asked && !job->position_done) ||
+                     (job->wrapped && !job->commit_done);
   if (outstanding) return;
   job->settled_at = Now();
   if (job->setup_error) return EndSetupFailed(channel, job);
   GiveBack(channel, job);
+  if (job->key_error) return EndKeyRefused(channel, job);
+  if (job->commit_error) return EndWithError(channel, job, *job->commit_error);
   Acknowledge(channel, job);
 }
 
+/// Answers with an error in place of what the endpoint sent.
+void Group::EndWithError(const ChannelPtr& channel, const JobPtr& job,
+                         const pgwire::Report& report) {
+  StatementEnd end;
+  end.ending = static_cast<uint8_t>(Ending::kAnswered);
+  end.transaction_status = job->status;
+  end.endpoint = job->endpoint;
+  channel->out += pgwire::ErrorResponse(report);
+  EndJob(channel, std::move(end));
+  Flush(channel);
+}
+
 void Group::GiveBack(const ChannelPtr& channel, const JobPtr& job) {
   PooledPtr connection = std::move(job->connection);
   job->connection = nullptr;
@@ -108,6 +125,7 @@
     return;
   }
   channel->pinned = nullptr;
+  channel->block_key = OperationKey();
   FreeSlot(channel, connection);
 }
 
--- a/endpoints/src/channels.cc
+++ b/endpoints/src/channels.cc
@@ -148,8 +148,7 @@
   if (!job->connection) return;
   std::string bytes = std::move(data.bytes);
   std::vector<Exchange> exchanges;
-  bool probe = data.complete && job->position_asked;
-  if (probe) AskPosition(channel, job, &bytes, &exchanges);
+  if (data.complete) FollowUp(channel, job, &bytes, &exchanges);
   job->connection->wire->Send(std::move(bytes), std::move(exchanges));
 }
 
--- a/endpoints/src/dispatch.cc
+++ b/endpoints/src/dispatch.cc
@@ -59,6 +59,8 @@
   const ChannelPtr& channel = found->second;
   if (item.lane == Lane::kPrimary) {
     chosen_ = primary_;
+    bool keyed = !channel->job->statement.operation_key.empty();
+    if (keyed && !KeysReady()) return false;
     return MayBegin(*channel->job, now);
   }
   if (JudgeFloor(channel) != FloorVerdict::kHolds) return true;
@@ -235,21 +237,27 @@
     }
     exchanges.push_back(std::move(swallowed));
   }
-  exchanges.push_back(RelayExchange(channel, job));
   std::string bytes = std::move(plan.bytes);
+  RecordKey(channel, job, &bytes, &exchanges);
+  exchanges.push_back(RelayExchange(channel, job));
   bytes += job->statement.bytes;
   job->sent = true;
   job->sent_at = Now();
   job->sent_micros = NowMicros();
   job->position_asked = PositionFollows(*job);
-  if (job->position_asked && job->statement.complete) {
-    AskPosition(channel, job, &bytes, &exchanges);
-  }
+  if (job->statement.complete) FollowUp(channel, job, &bytes, &exchanges);
   if (job->plain_read()) job->replay = std::move(job->statement.bytes);
   std::string().swap(job->statement.bytes);
   connection->wire->Send(std::move(bytes), std::move(exchanges));
 }
 
+/// What goes out right behind a whole statement.
+void Group::FollowUp(const ChannelPtr& channel, const JobPtr& job,
+                     std::string* bytes, std::vector<Exchange>* exchanges) {
+  if (job->wrapped) CommitKey(channel, job, bytes, exchanges);
+  if (job->position_asked) AskPosition(channel, job, bytes, exchanges);
+}
+
 void Group::AskPosition(const ChannelPtr& channel, const JobPtr& job,
                         std::string* bytes, std::vector<Exchange>* exchanges) {
   job->position_asked = true;
--- a/endpoints/src/group.h
+++ b/endpoints/src/group.h
@@ -74,10 +74,20 @@
   bool RefuseFloor(const ChannelPtr& channel, Time now);
   void Run(const ChannelPtr& channel, const EndpointId& endpoint);
   void SendJob(const ChannelPtr& channel, const JobPtr& job);
+  void FollowUp(const ChannelPtr& channel, const JobPtr& job,
+                std::string* bytes, std::vector<Exchange>* exchanges);
   void AskPosition(const ChannelPtr& channel, const JobPtr& job,
                    std::string* bytes, std::vector<Exchange>* exchanges);
   Exchange RelayExchange(const ChannelPtr& channel, const JobPtr& job);
 
+  // operation_keys.cc: statements that may run at most once.
+  bool KeysReady();
+  void RecordKey(const ChannelPtr& channel, const JobPtr& job,
+                 std::string* bytes, std::vector<Exchange>* exchanges);
+  void CommitKey(const ChannelPtr& channel, const JobPtr& job,
+                 std::string* bytes, std::vector<Exchange>* exchanges);
+  void EndKeyRefused(const ChannelPtr& channel, const JobPtr& job);
+
   // answers.cc: what goes back, and the fences before it.
   void OnPiece(const ChannelPtr& channel, const JobPtr& job, char type,
                bool first, std::string_view piece);
@@ -96,6 +106,8 @@
                   const std::string& reason);
   void Refuse(const ChannelPtr& channel, const pgwire::Report& report,
               const std::string& reason);
+  void EndWithError(const ChannelPtr& channel, const JobPtr& job,
+                    const pgwire::Report& report);
   void EndJob(const ChannelPtr& channel, StatementEnd end);
   void Flush(const ChannelPtr& channel);
   void SendOut(const ChannelPtr& channel, const JobPtr& job);
@@ -142,6 +154,9 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer poll_timer_;
   bool polling_ = false;
+  Term keys_ready_in_;  ///< the term whose primary has the table of keys
+  bool keys_asked_ = false;
+  Time keys_retry_at_;
   bool draining_ = false;
   bool stopped_ = false;
   std::function<void()> drained_;
--- a/endpoints/src/job.h
+++ b/endpoints/src/job.h
@@ -40,6 +40,13 @@
   std::optional<pgwire::Report> setup_error;
   std::optional<Time> cancelled_at;
 
+  // Its operation key, recorded in the transaction that the statement is in:
+  bool records_key = false;
+  bool wrapped = false;  ///< the owner began that transaction, and ends it
+  std::optional<pgwire::Report> key_error;
+  bool commit_done = false;
+  std::optional<pgwire::Report> commit_error;
+
   // Its answer:
   bool holding = false;  ///< from the first completion on
   std::string held;
@@ -83,6 +90,7 @@
   PooledPtr pinned;  ///< holds the session's open transaction
   bool pinned_to_primary = true;
   Term pinned_term;
+  OperationKey block_key;  ///< recorded in the open transaction
   Time idle_since;
   Time slot_since;
   Rank slot_rank;
--- a/endpoints/src/pool.h
+++ b/endpoints/src/pool.h
@@ -29,7 +29,7 @@
   uint64_t number = 0;
   std::string last_session;
   uint64_t setup_hash = 0;
-  bool dirty = false;     ///< ran something else than plain reads
+  bool dirty = false;     ///< may be in another state than its setup says
   bool tainted = false;   ///< not to be used again
   bool busy = false;      ///< takes a slot
   bool checking = false;  ///< a check that it still answers is under way
--- a/endpoints/src/statement_plan.cc
+++ b/endpoints/src/statement_plan.cc
@@ -103,8 +103,7 @@
     plan.bytes += pgwire::Builder().Begin('S').End().bytes();
     plan.steps.push_back(PlanStep::kPrepare);
   }
-  StatementKind kind = static_cast<StatementKind>(statement.kind);
-  if (kind != StatementKind::kRead || in_block) connection->dirty = true;
+  if (statement.changes_state) connection->dirty = true;
   connection->last_session = session;
   return plan;
 }
--- a/endpoints/test/fake_endpoint.h
+++ b/endpoints/test/fake_endpoint.h
@@ -48,6 +48,7 @@
   // What happened.
   std::vector<std::string> statements;  ///< SQL of callers, in order
   std::vector<std::string> messages;    ///< types of all frontend messages
+  std::set<std::string> keys;           ///< SQL that recorded them
   size_t probes = 0;
   size_t cancels = 0;
   size_t open_connections = 0;
@@ -282,9 +283,25 @@
         return pgwire::CommandComplete("BEGIN");
       }
       if (sql == "COMMIT" || sql == "ROLLBACK") {
-        if (sql == "COMMIT") endpoint->Write(10);
+        bool commits = sql == "COMMIT" && status == 'T';
+        if (commits) endpoint->Write(10);
+        if (!commits) {
+          for (const std::string& key : new_keys) endpoint->keys.erase(key);
+        }
+        new_keys.clear();
         status = 'I';
-        return pgwire::CommandComplete(sql);
+        return pgwire::CommandComplete(commits ? "COMMIT" : "ROLLBACK");
+      }
+      if (status == 'E' && sql != "COMMIT" && sql != "ROLLBACK") {
+        return pgwire::ErrorResponse({"ERROR", "25P02", "aborted", "", ""});
+      }
+      if (sql.rfind("INSERT INTO cardamomchute_operations", 0) == 0) {
+        if (endpoint->keys.insert(sql).second) {
+          new_keys.insert(sql);
+          return pgwire::CommandComplete("INSERT 0 1");
+        }
+        status = 'E';
+        return pgwire::ErrorResponse({"ERROR", "23505", "duplicate", "", ""});
       }
       if (sql.rfind("INSERT", 0) == 0) {
         if (status == 'I') endpoint->Write(10);
@@ -348,6 +365,7 @@
     std::string extended;
     std::string parsed_sql;
     std::set<std::string> prepared;
+    std::set<std::string> new_keys;
     std::vector<std::function<void()>> pending;
   };
 
--- a/endpoints/test/owner-test.cc
+++ b/endpoints/test/owner-test.cc
@@ -66,6 +66,64 @@
   BOOST_TEST(f.endpoints[0]->Count("INSERT once") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_operation_key_runs_once) {
+  OwnerFixture f;
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  Statement statement = f.Make(*caller, "INSERT a", StatementKind::kWrite);
+  statement.operation_key = OperationKey("it's key 1");
+  BOOST_REQUIRE(f.Run(*caller, statement));
+  BOOST_TEST((caller->ending() == Ending::kAnswered));
+  BOOST_TEST(caller->last().transaction_status == 'I');
+  BOOST_TEST(caller->bytes == pgwire::CommandComplete("INSERT 0 1"));
+  std::unique_ptr<TestCaller> again = f.Connect("other");
+  statement.number = again->next++;
+  BOOST_REQUIRE(f.Run(*again, statement));
+  BOOST_TEST((again->ending() == Ending::kNotRun));
+  BOOST_TEST(again->last().sqlstate == "23505");
+  BOOST_TEST(again->last().transaction_status == 'I');
+  BOOST_TEST(again->bytes.empty());
+  BOOST_REQUIRE(f.Run(*again, "INSERT b"));
+  BOOST_TEST((again->ending() == Ending::kAnswered));
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_statement_leaves_its_operation_key_free) {
+  OwnerFixture f;
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  Statement statement = f.Make(*caller, "fail", StatementKind::kWrite);
+  statement.operation_key = OperationKey("k");
+  BOOST_REQUIRE(f.Run(*caller, statement));
+  BOOST_TEST((caller->ending() == Ending::kAnswered));
+  BOOST_TEST(caller->bytes.find("42601") != std::string::npos);
+  BOOST_TEST(caller->last().transaction_status == 'I');
+  statement = f.Make(*caller, "INSERT a", StatementKind::kWrite);
+  statement.operation_key = OperationKey("k");
+  BOOST_REQUIRE(f.Run(*caller, statement));
+  BOOST_TEST((caller->ending() == Ending::kAnswered));
+}
+
+BOOST_AUTO_TEST_CASE(an_operation_key_in_a_block_is_recorded_once) {
+  OwnerFixture f;
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  for (int round = 0; round < 2; ++round) {
+    BOOST_REQUIRE(f.Run(*caller, "BEGIN", StatementKind::kBegin));
+    for (const char* sql : {"INSERT a", "INSERT b"}) {
+      Statement statement = f.Make(*caller, sql, StatementKind::kWrite);
+      statement.operation_key = OperationKey("k");
+      BOOST_REQUIRE(f.Run(*caller, statement));
+      if (round == 1) break;
+      BOOST_TEST((caller->ending() == Ending::kAnswered));
+    }
+    if (round == 0) BOOST_REQUIRE(f.Run(*caller, "COMMIT"));
+  }
+  BOOST_TEST(caller->last().sqlstate == "23505");
+  BOOST_TEST(caller->last().transaction_status == 'E');
+  BOOST_REQUIRE(f.Run(*caller, "ROLLBACK"));
+  BOOST_TEST(caller->last().transaction_status == 'I');
+}
+
 BOOST_AUTO_TEST_CASE(a_read_goes_again_after_a_broken_connection) {
   OwnerFixture f;
   f.Start();
--- a/endpoints/test/owner_fixture.h
+++ b/endpoints/test/owner_fixture.h
@@ -210,6 +210,7 @@
     statement.max_staleness = kAnyStaleness;
     statement.deadline = Seconds(10);
     statement.bytes = pgwire::Query(sql);
+    statement.changes_state = kind != StatementKind::kRead;
     return statement;
   }
 
--- a/endpoints/test/statement_plan-test.cc
+++ b/endpoints/test/statement_plan-test.cc
@@ -27,6 +27,7 @@
   Statement statement;
   statement.kind = static_cast<uint8_t>(kind);
   statement.bytes = pgwire::Query("x");
+  statement.changes_state = kind != StatementKind::kRead;
   return statement;
 }
 
@@ -40,7 +41,16 @@
       PlanStatement(&c, Plain(StatementKind::kRead), "b", false).steps.empty());
 }
 
-BOOST_AUTO_TEST_CASE(a_write_of_another_session_needs_a_reset) {
+BOOST_AUTO_TEST_CASE(a_write_that_leaves_no_state_needs_no_reset) {
+  PooledConnection c;
+  Statement write = Plain(StatementKind::kWrite);
+  write.changes_state = false;
+  PlanStatement(&c, write, "a", false);
+  BOOST_TEST(PlanStatement(&c, Plain(StatementKind::kWrite), "b", false)
+                 .steps.empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_a_session_may_have_changed_is_reset_for_others) {
   PooledConnection c;
   PlanStatement(&c, Plain(StatementKind::kWrite), "a", false);
   BOOST_TEST(PlanStatement(&c, Plain(StatementKind::kWrite), "a", false)
