Wait for replicas beyond a short deadline; ask observers for less long

A primary's stall of 500 ms delayed its replicas as well, and writes of a rank with a short deadline ended 08007 although they were received soon after.

--- a/endpoints/src/failover_executor.cc
+++ b/endpoints/src/failover_executor.cc
@@ -8,7 +8,7 @@
 namespace cardamomchute {
 namespace {
 
-constexpr Duration kObserverTimeout = Millis(250);
+constexpr Duration kObserverTimeout = Millis(150);
 constexpr Duration kPromoteTimeout = Millis(4000);
 constexpr Duration kFollowTimeout = Millis(2000);
 /// A replica that follows an earlier term is pointed at the primary again.
--- a/endpoints/src/group.cc
+++ b/endpoints/src/group.cc
@@ -239,7 +239,9 @@
       continue;
     }
     bool hopeless = alone && now - job->settled_at > kReplicationPatience;
-    if (!hopeless && now < job->deadline) continue;
+    // Late is better than unknown: a stall of the primary delays replicas too.
+    Time end = std::max(job->deadline, job->settled_at + kReplicationLimit);
+    if (!hopeless && now < end) continue;
     replica_waits_.erase(channel);
     EndUnknown(channel, job, "no replica has received it in time");
     Flush(channel);
--- a/endpoints/src/group_limits.h
+++ b/endpoints/src/group_limits.h
@@ -14,6 +14,8 @@
 /// Without a live replica, a write in mode `replicated` waits this long for
 /// one before its outcome is unknown, and after as long none is begun.
 inline constexpr Duration kReplicationPatience = Millis(2000);
+/// With live replicas it waits for this long, or until its deadline.
+inline constexpr Duration kReplicationLimit = Millis(5000);
 /// A read waits for a replica to catch up for at most this long, or for half
 /// of its rank's target, or for a quarter of the time it has.
 inline constexpr Duration kMaxCatchUpWait = Millis(100);
