Give up statements on connections that fell silent with others

A write on a silent connection held its slot until the statement timeout. Now it ends as unknown after 2.5 s if idle connections to the same member were found silent at about that time. endpoints-test passes.

--- a/endpoints/src/group.cc
+++ b/endpoints/src/group.cc
@@ -211,14 +211,19 @@
 }
 
 /// A read that got nothing for long is tried once on another connection, in
-/// case only the connection fell silent.
+/// case only the connection fell silent. Anything else is given up as unknown
+/// if other connections to the member were found silent at about that time.
 bool Group::LooksSilent(const Job& job, Time now) const {
-  bool nothing_yet = job.plain_read() && !job.passed && !job.holding;
-  if (!nothing_yet || job.attempts > 0 || job.cancelled_at) return false;
+  if (job.passed || job.holding || job.cancelled_at) return false;
+  Duration unanswered = now - job.sent_at;
+  std::optional<Time> silent_at = pool_->SilentAt(job.endpoint);
+  bool others_silent = silent_at && *silent_at + kSilenceSpan > job.sent_at;
+  if (others_silent && unanswered > kSilentWriteAfter) return true;
+  if (!job.plain_read() || job.attempts > 0) return false;
   size_t rank = job.statement.rank.value();
   Duration patience = kSilentReadAfter;
   if (rank < ranks_.size()) patience = std::max(patience, ranks_[rank].target);
-  return now - job.sent_at > patience;
+  return unanswered > patience;
 }
 
 void Group::CheckReplicaWaits(Time now) {
--- a/endpoints/src/group_limits.h
+++ b/endpoints/src/group_limits.h
@@ -26,6 +26,10 @@
 /// A read without any answer for this long, and for its rank's target, may be
 /// on a silent connection.
 inline constexpr Duration kSilentReadAfter = Millis(1000);
+/// So may whatever got no answer for this long, when connections to the same
+/// member were found silent within `kSilenceSpan` before it was sent or since.
+inline constexpr Duration kSilentWriteAfter = Millis(2500);
+inline constexpr Duration kSilenceSpan = Millis(3000);
 /// Held back bytes beyond this are passed on before the answer's end.
 inline constexpr size_t kMaxHeldBytes = 1024 * 1024;
 /// Staleness bounds below this need quick probes all the time.
--- a/endpoints/src/pool.cc
+++ b/endpoints/src/pool.cc
@@ -109,6 +109,11 @@
   return std::min<size_t>(spec_.slots - busy, ready);
 }
 
+std::optional<Time> Pool::SilentAt(const EndpointId& endpoint) const {
+  auto found = members_.find(endpoint);
+  return found == members_.end() ? std::nullopt : found->second.silent_at;
+}
+
 void Pool::Tick(Time now) {
   if (stopped_) return;
   for (auto member = members_.begin(); member != members_.end();) {
@@ -255,6 +260,7 @@
     }
     if (connection->checking) {
       if (now - connection->check_sent < kIdleCheckTimeout) continue;
+      member->silent_at = now;
       Close(member, connection);
       continue;
     }
--- a/endpoints/src/pool.h
+++ b/endpoints/src/pool.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -68,6 +69,8 @@
   /// Has a member's idle connections answer before they are used again,
   /// since one of them broke or fell silent.
   void Suspect(const EndpointId& endpoint);
+  /// When an idle connection to the member was last found silent.
+  std::optional<Time> SilentAt(const EndpointId& endpoint) const;
   /// Closes all connections that are not busy.
   void CloseIdle();
   void Stop();
@@ -86,6 +89,7 @@
     size_t opening = 0;
     size_t closing = 0;
     Time retry_at;
+    std::optional<Time> silent_at;
     Duration back_off;
     bool gone = false;  ///< no longer a member; counts until it is empty
   };
--- a/endpoints/test/pool-test.cc
+++ b/endpoints/test/pool-test.cc
@@ -135,4 +135,21 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(a_write_on_a_connection_gone_silent_ends_unknown) {
+  OwnerFixture f;
+  f.limits().statement_timeout = Seconds(300);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("a");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT a"));
+  f.endpoints[0]->SilenceConnections();
+  Statement write = f.Make(*caller, "INSERT silent", StatementKind::kWrite);
+  write.deadline = Seconds(300);
+  BOOST_REQUIRE(f.Run(*caller, write));
+  BOOST_TEST(caller->last().sqlstate == "08007");
+  BOOST_TEST(f.endpoints[0]->Count("INSERT silent") == 1U);
+  BOOST_REQUIRE(f.Run(*caller, "INSERT after"));
+  BOOST_TEST((caller->ending() == Ending::kAnswered));
+  BOOST_TEST(f.proposals.empty());
+}
+
 }  // namespace cardamomchute
