--- a/endpoints/test/fake_endpoint.h
+++ b/endpoints/test/fake_endpoint.h
@@ -40,6 +40,7 @@
 
   // Faults.
   bool silent = false;        ///< answers nothing any more
+  bool lingers = false;       ///< leaves closing to the other side
   bool hold_answers = false;  ///< answers to statements wait for Release
   bool hold_probes = false;   ///< so do those to position queries
   /// Called just before a statement's answer is written.
@@ -146,6 +147,7 @@
         std::string body(message->body);
         in.erase(0, message->whole.size());
         endpoint->messages.emplace_back(1, type);
+        if (type == 'X' && endpoint->lingers) return;
         if (type == 'X') return Gone();
         Handle(type, body);
       }
--- a/endpoints/test/pool-test.cc
+++ b/endpoints/test/pool-test.cc
@@ -27,6 +27,24 @@
   BOOST_TEST(f.endpoints[0]->most_connections <= 6U);
 }
 
+BOOST_AUTO_TEST_CASE(connections_being_closed_count_towards_the_cap) {
+  OwnerFixture f;
+  f.spec().connections = 6;
+  f.endpoints[0]->lingers = true;
+  f.Start();
+  for (int i = 0; i < 6; ++i) {
+    std::unique_ptr<TestCaller> caller = f.Connect();
+    f.endpoints[0]->hold_answers = true;
+    f.Send(*caller, "INSERT a");
+    size_t count = static_cast<size_t>(i) + 1;
+    BOOST_REQUIRE(
+        f.Until([&] { return f.endpoints[0]->Count("INSERT a") == count; }));
+    caller->to_owner(CloseChannel{});
+    f.RunFor(Millis(50));
+  }
+  BOOST_TEST(f.endpoints[0]->most_connections <= 6U);
+}
+
 BOOST_AUTO_TEST_CASE(a_block_pins_its_connection_and_slot) {
   OwnerFixture f;
   f.spec().slots = 1;
