--- a/endpoints/test/pool-test.cc
+++ b/endpoints/test/pool-test.cc
@@ -27,6 +27,24 @@
   BOOST_TEST(f.endpoints[0]->most_connections <= 6U);
 }
 
+BOOST_AUTO_TEST_CASE(connections_being_closed_count_towards_the_cap) {
+  OwnerFixture f;
+  f.spec().connections = 6;
+  f.endpoints[0]->lingers = true;
+  f.Start();
+  for (int i = 0; i < 6; ++i) {
+    std::unique_ptr<TestCaller> caller = f.Connect();
+    f.endpoints[0]->hold_answers = true;
+    f.Send(*caller, "INSERT a");
+    size_t count = static_cast<size_t>(i) + 1;
+    BOOST_REQUIRE(
+        f.Until([&] { return f.endpoints[0]->Count("INSERT a") == count; }));
+    caller->to_owner(CloseChannel{});
+    f.RunFor(Millis(50));
+  }
+  BOOST_TEST(f.endpoints[0]->most_connections <= 6U);
+}
+
 BOOST_AUTO_TEST_CASE(a_block_pins_its_connection_and_slot) {
   OwnerFixture f;
   f.spec().slots = 1;
@@ -135,4 +153,21 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(a_write_on_a_connection_gone_silent_ends_unknown) {
+  OwnerFixture f;
+  f.limits().statement_timeout = Seconds(300);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("a");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT a"));
+  f.endpoints[0]->SilenceConnections();
+  Statement write = f.Make(*caller, "INSERT silent", StatementKind::kWrite);
+  write.deadline = Seconds(300);
+  BOOST_REQUIRE(f.Run(*caller, write));
+  BOOST_TEST(caller->last().sqlstate == "08007");
+  BOOST_TEST(f.endpoints[0]->Count("INSERT silent") == 1U);
+  BOOST_REQUIRE(f.Run(*caller, "INSERT after"));
+  BOOST_TEST((caller->ending() == Ending::kAnswered));
+  BOOST_TEST(f.proposals.empty());
+}
+
 }  // namespace cardamomchute
