Give each system test ports of its own

Cause: three test programs that ran side by side asked the system for free ports and closed them again; one took another's, a control member could not listen, a fresh quorum of three waits for all of its seeds, and the start never ended. Ports now come from a range of each program's own, below the ephemeral ones.

--- a/tests/process.cc
+++ b/tests/process.cc
@@ -7,7 +7,6 @@
 #include <boost/process.hpp>
 #include <chrono>
 #include <iterator>
-#include <set>
 
 namespace cardamomchute::testing {
 namespace {
@@ -21,24 +20,25 @@
 }  // namespace
 
 uint16_t FreePort(int offset) {
-  static std::set<uint16_t> given;
+  // Below the system's own ephemeral ports, and each program in a range of
+  // its own: tests that run side by side never take each other's.
+  static int next = PORT_BASE;
   using Acceptor = boost::asio::ip::tcp::acceptor;
   boost::asio::io_context io;
   boost::asio::ip::address loopback = boost::asio::ip::address_v4::loopback();
   while (true) {
-    Acceptor acceptor(io, {loopback, 0});
-    uint16_t port = acceptor.local_endpoint().port();
-    uint16_t other = static_cast<uint16_t>(port + offset);
-    if (given.count(port) + given.count(other) > 0) continue;
-    boost::system::error_code taken;
-    if (offset != 0) {
-      Acceptor second(io);
-      second.open(boost::asio::ip::tcp::v4());
-      second.bind({loopback, other}, taken);
+    int port = next;
+    next += offset + 1;
+    bool free = true;
+    for (int candidate : {port, port + offset}) {
+      Acceptor acceptor(io);
+      acceptor.open(boost::asio::ip::tcp::v4());
+      acceptor.set_option(Acceptor::reuse_address(true));
+      boost::system::error_code taken;
+      acceptor.bind({loopback, static_cast<uint16_t>(candidate)}, taken);
+      free = free && !taken;
     }
-    if (taken) continue;
-    given.insert({port, other});
-    return port;
+    if (free) return static_cast<uint16_t>(port);
   }
 }
 
--- a/tests/process.h
+++ b/tests/process.h
@@ -9,7 +9,7 @@
 
 namespace cardamomchute::testing {
 
-/// A port that was free a moment ago, as was the one `offset` above it.
+/// A port of this program's range that is free, as is the one `offset` above.
 uint16_t FreePort(int offset = 0);
 
 /// Runs `program` from the build's own folder; its output goes to `log`.
