--- a/peers/include/cardamomchute/peers/link.h
+++ b/peers/include/cardamomchute/peers/link.h
@@ -56,6 +56,7 @@
  private:
   void Read();
   void ParseFrames();
+  void AdaptReads(size_t count);
   void Write();
   void Tick();
   void Lose(const std::string& reason);
@@ -67,6 +68,7 @@
   LostHandler on_lost_;
   std::string in_;
   size_t in_used_ = 0;
+  size_t read_bytes_;
   std::string queued_;
   std::string writing_;
   size_t unsent_bytes_ = 0;
--- a/peers/src/link.cc
+++ b/peers/src/link.cc
@@ -1,5 +1,6 @@
 #include "cardamomchute/peers/link.h"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -13,7 +14,10 @@
 using boost::system::error_code;
 
 constexpr size_t kHeaderBytes = 5;
-constexpr size_t kReadBytes = 64 * 1024;
+// A read asks for as much as recent reads brought, so that the many links
+// that only carry heartbeats stay small.
+constexpr size_t kMinReadBytes = 2 * 1024;
+constexpr size_t kMaxReadBytes = 64 * 1024;
 
 std::string Describe(const asio::ip::tcp::socket& socket) {
   error_code error;
@@ -28,6 +32,7 @@
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       remote_(Describe(socket_)),
+      read_bytes_(kMinReadBytes),
       last_read_(Now()),
       last_write_(Now()) {
   error_code ignored;
@@ -63,13 +68,14 @@
 }
 
 void Link::Read() {
-  if (in_.size() < in_used_ + kReadBytes) in_.resize(in_used_ + kReadBytes);
+  if (in_.size() < in_used_ + read_bytes_) in_.resize(in_used_ + read_bytes_);
   std::shared_ptr<Link> self = shared_from_this();
   socket_.async_read_some(
       asio::buffer(in_.data() + in_used_, in_.size() - in_used_),
       [self](error_code error, size_t count) {
         if (self->lost_) return;
         if (error) return self->Lose(error.message());
+        self->AdaptReads(count);
         self->in_used_ += count;
         self->last_read_ = Now();
         self->ParseFrames();
@@ -96,13 +102,21 @@
   }
   in_.erase(0, at);
   in_used_ -= at;
-  bool oversized = in_.size() > in_used_ + 4 * kReadBytes;
+  bool oversized = in_.size() > in_used_ + 4 * read_bytes_;
   if (oversized) {
     in_.resize(in_used_);
     in_.shrink_to_fit();
   }
 }
 
+void Link::AdaptReads(size_t count) {
+  if (count >= read_bytes_) {
+    read_bytes_ = std::min(read_bytes_ * 2, kMaxReadBytes);
+  } else if (count < read_bytes_ / 4) {
+    read_bytes_ = std::max(read_bytes_ / 2, kMinReadBytes);
+  }
+}
+
 void Link::Write() {
   writing_.swap(queued_);
   queued_.clear();
--- a/tests/path-test.cc
+++ b/tests/path-test.cc
@@ -6,6 +6,49 @@
 
 namespace cardamomchute::testing {
 
+namespace {
+
+/// Three batches in one pipeline, the second of them an error; what came back.
+std::string RunPipeline(PGconn* connection, const std::string& key) {
+  constexpr int kBatches = 3;
+  const char* value = key.c_str();
+  PQenterPipelineMode(connection);
+  PQsendQueryParams(connection, "INSERT INTO t (k, v) VALUES ($1, 'p')", 1,
+                    nullptr, &value, nullptr, nullptr, 0);
+  PQsendQueryParams(connection, "SELECT v FROM t WHERE k = $1", 1, nullptr,
+                    &value, nullptr, nullptr, 0);
+  PQpipelineSync(connection);
+  PQsendQueryParams(connection, "SELECT 1/0", 0, nullptr, nullptr, nullptr,
+                    nullptr, 0);
+  PQsendQueryParams(connection, "SELECT 7", 0, nullptr, nullptr, nullptr,
+                    nullptr, 0);
+  PQpipelineSync(connection);
+  PQsendPrepare(connection, "named", "SELECT 8", 0, nullptr);
+  PQsendQueryPrepared(connection, "named", 0, nullptr, nullptr, nullptr, 0);
+  PQpipelineSync(connection);
+  std::string seen;
+  int synced = 0;
+  while (synced < kBatches && PQstatus(connection) == CONNECTION_OK) {
+    PGresult* result = PQgetResult(connection);
+    if (result == nullptr) {
+      seen += ";";
+      continue;
+    }
+    ExecStatusType status = PQresultStatus(result);
+    if (status == PGRES_PIPELINE_SYNC) ++synced;
+    seen += std::string(PQresStatus(status)) + " " + PQcmdStatus(result);
+    if (PQntuples(result) > 0)
+      seen += std::string("=") + PQgetvalue(result, 0, 0);
+    const char* state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+    if (state != nullptr) seen += std::string(" ") + state;
+    PQclear(result);
+  }
+  PQexitPipelineMode(connection);
+  return seen;
+}
+
+}  // namespace
+
 struct PathFixture {
   PathFixture() : cluster("path") { cluster.Start(); }
   Cluster cluster;
@@ -64,4 +107,23 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(a_pipeline_answers_as_when_direct, PathFixture) {
+  Client through = Connect();
+  std::string endpoint = cluster.PrimaryOf("tickets");
+  Client direct(cluster.Endpoint(endpoint).port, "app", kDatabase);
+  std::string expected = RunPipeline(direct.raw(), "direct");
+  BOOST_TEST(RunPipeline(through.raw(), "through") == expected);
+  BOOST_TEST(expected.find("22012") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_large_result_is_whole, PathFixture) {
+  Client through = Connect();
+  std::string endpoint = cluster.PrimaryOf("tickets");
+  Client direct(cluster.Endpoint(endpoint).port, "app", kDatabase);
+  std::string sql = "SELECT repeat('x', 1000) FROM generate_series(1, 100000)";
+  Answer answer = through.Run(sql);
+  BOOST_TEST(answer.rows == 100000);
+  BOOST_TEST(answer.value == direct.Run(sql).value);
+}
+
 }  // namespace cardamomchute::testing
