--- a/apps/cardamomchuted/main.cc
+++ b/apps/cardamomchuted/main.cc
@@ -1,5 +1,5 @@
-/// cardamomchuted: serves callers, owns groups, or is a control member, as its
-/// settings say.
+/// cardamomchuted: an entry VM or control member for PostgreSQL groups, or a
+/// relay or steward for groups of the line protocol, as its settings say.
 #include <tclap/CmdLine.h>
 
 #include <fstream>
@@ -10,10 +10,13 @@
 #include "cardamomchute/base/log.h"
 #include "cardamomchute/base/settings.h"
 #include "node.h"
+#include "relay_node.h"
+#include "steward_node.h"
 
 namespace {
 
 using cardamomchute::Fault;
+using cardamomchute::NodeSettings;
 using cardamomchute::Settings;
 using cardamomchute::SettingsOutcome;
 
@@ -29,17 +32,11 @@
   return text.str();
 }
 
-std::optional<Settings> LoadSettings(const std::string& path) {
-  std::optional<std::string> text = ReadFile(path);
-  if (!text) {
-    std::cerr << "cannot read " << path << "; name a file with --config\n";
-    return std::nullopt;
-  }
-  SettingsOutcome outcome = cardamomchute::ParseSettings(*text);
-  for (const Fault& fault : outcome.faults) {
+/// Prints what is wrong with the settings in `path`.
+void PrintFaults(const std::string& path, const std::vector<Fault>& faults) {
+  for (const Fault& fault : faults) {
     std::cerr << path << ": " << ToString(fault) << "\n";
   }
-  return outcome.settings;
 }
 
 int Serve(const Settings& settings) {
@@ -56,6 +53,58 @@
   return kExitOk;
 }
 
+int ServeFleet(const NodeSettings& settings, const std::string& path) {
+  cardamomchute::StartLog(settings.vm.value(),
+                          cardamomchute::ParseLogLevel(settings.log_level));
+  cardamomchute::ReloadSettings reload =
+      [path]() -> std::optional<NodeSettings> {
+    std::optional<std::string> text = ReadFile(path);
+    if (!text) return std::nullopt;
+    return cardamomchute::ParseNodeSettings(*text).settings;
+  };
+  auto serve = [](auto& node) {
+    cardamomchute::Status started = node.Start();
+    if (started.has_error()) {
+      cardamomchute::LogLine(cardamomchute::LogLevel::kError, "start_failed")
+          .Field("error", ToString(started.error()));
+      return false;
+    }
+    return true;
+  };
+  if (settings.kind == cardamomchute::NodeKind::kRelay) {
+    cardamomchute::RelayNode node(settings, reload);
+    if (!serve(node)) return kExitCannotStart;
+    node.Run();
+    return kExitOk;
+  }
+  cardamomchute::StewardNode node(settings, reload);
+  if (!serve(node)) return kExitCannotStart;
+  return node.Run() ? kExitOk : kExitCannotStart;
+}
+
+/// Serves, or only checks, what the settings in `path` ask for.
+int Start(const std::string& path, bool check_only) {
+  std::optional<std::string> text = ReadFile(path);
+  if (!text) {
+    std::cerr << "cannot read " << path << "; name a file with --config\n";
+    return kExitBadSettings;
+  }
+  if (cardamomchute::IsNodeSettings(*text)) {
+    cardamomchute::NodeSettingsOutcome outcome =
+        cardamomchute::ParseNodeSettings(*text);
+    PrintFaults(path, outcome.faults);
+    if (!outcome.settings) return kExitBadSettings;
+    if (!check_only) return ServeFleet(*outcome.settings, path);
+  } else {
+    SettingsOutcome outcome = cardamomchute::ParseSettings(*text);
+    PrintFaults(path, outcome.faults);
+    if (!outcome.settings) return kExitBadSettings;
+    if (!check_only) return Serve(*outcome.settings);
+  }
+  std::cout << "settings are valid\n";
+  return kExitOk;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -66,13 +115,7 @@
                                         "", "FILE", command);
     TCLAP::SwitchArg check("", "check", "check the settings and end", command);
     command.parse(argc, argv);
-    std::optional<Settings> settings = LoadSettings(config.getValue());
-    if (!settings) return kExitBadSettings;
-    if (check.getValue()) {
-      std::cout << "settings are valid\n";
-      return kExitOk;
-    }
-    return Serve(*settings);
+    return Start(config.getValue(), check.getValue());
   } catch (const TCLAP::ArgException& e) {
     std::cerr << e.error() << " " << e.argId() << "\n";
     return kExitBadSettings;
--- a/apps/cardamomchuted/node.h
+++ b/apps/cardamomchuted/node.h
@@ -11,9 +11,9 @@
 #include "cardamomchute/base/settings.h"
 #include "cardamomchute/peers/control_agent.h"
 #include "cardamomchute/peers/control_member.h"
-#include "cardamomchute/platform/health.h"
-#include "cardamomchute/platform/http_server.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/health.h"
+#include "cardamomchute/http/http_server.h"
+#include "cardamomchute/telemetry/metrics.h"
 #include "traffic.h"
 
 namespace cardamomchute {
--- /dev/null
+++ b/apps/cardamomchuted/relay_node.cc
@@ -0,0 +1,136 @@
+#include "relay_node.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <thread>
+#include <utility>
+
+#include "cardamomchute/base/log.h"
+#include "cardamomchute/platform/documents.h"
+#include "cardamomchute/platform/line_protocol.h"
+#include "cardamomchute/platform/routes.h"
+
+namespace cardamomchute {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Left of the grace for the end of the process itself.
+constexpr Duration kExitMargin = Millis(500);
+
+}  // namespace
+
+RelayNode::RelayNode(NodeSettings settings, ReloadSettings reload)
+    : settings_(std::move(settings)),
+      reload_(std::move(reload)),
+      signals_(control_, SIGTERM, SIGINT, SIGHUP) {}
+
+Status RelayNode::Start() {
+  ControlLinkParts control;
+  control.io = &control_;
+  control.vm = settings_.vm;
+  control.zone = settings_.zone;
+  control.peers = settings_.peers;
+  control.on_push = [this](const DirectoryPush& push) { OnPush(push); };
+  control.seeds = [this] {
+    // The file may change without a signal.
+    if (std::optional<NodeSettings> now = reload_()) settings_.seeds = now->seeds;
+    return settings_.seeds;
+  };
+  link_ = std::make_shared<ControlLink>(std::move(control));
+
+  RelayParts relay;
+  relay.io = &traffic_;
+  relay.vm = settings_.vm;
+  relay.zone = settings_.zone;
+  relay.callers = *settings_.callers;
+  relay.peers = settings_.peers;
+  relay.caller_protocol = LineCallerProtocol();
+  relay.endpoint_protocol = LineEndpointProtocol();
+  relay.report = [this](const GroupId& group, const EndpointId& endpoint,
+                        Trouble trouble) {
+    asio::post(control_, [this, group, endpoint, trouble] {
+      link_->Report(group, endpoint, trouble);
+    });
+  };
+  relay_ = std::make_shared<Relay>(std::move(relay));
+  BOOST_OUTCOME_TRYV(relay_->Start());
+
+  http_ = std::make_unique<HttpServer>(&control_);
+  http_->AddRoutes(ReadyRoutes(
+      [this] { return layout_version_ > 0 && !draining_; }));
+  BOOST_OUTCOME_TRYV(http_->Start(*settings_.ready));
+  link_->Start();
+  WaitForSignal();
+  LogLine(LogLevel::kInfo, "started")
+      .Field("kind", "relay")
+      .Field("zone", settings_.zone)
+      .Field("callers", ToString(*settings_.callers));
+  return Ok();
+}
+
+void RelayNode::OnPush(const DirectoryPush& push) {
+  if (push.layout) TakeLayout(*push.layout);
+  if (push.delta.Empty()) return;
+  asio::post(traffic_, [relay = relay_, delta = push.delta] {
+    relay->OnDirectory(delta);
+  });
+}
+
+void RelayNode::TakeLayout(const StoredLayout& stored) {
+  if (stored.version <= layout_version_) return;
+  Result<Layout> layout = DecodeLayout(stored.text);
+  if (!layout) {
+    LogLine(LogLevel::kError, "layout_refused")
+        .Field("version", stored.version)
+        .Field("error", ToString(layout.error()));
+    return;
+  }
+  layout_version_ = stored.version;
+  link_->SetLayoutVersion(stored.version);
+  LogLine(LogLevel::kInfo, "layout_in_force")
+      .Field("version", stored.version)
+      .Field("routes", layout.value().routes.size());
+  std::shared_ptr<const Layout> shared =
+      std::make_shared<Layout>(std::move(layout.value()));
+  asio::post(traffic_, [relay = relay_, shared] { relay->OnLayout(shared); });
+}
+
+void RelayNode::WaitForSignal() {
+  signals_.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) return;
+    if (signal != SIGHUP) return Drain();
+    std::optional<NodeSettings> now = reload_();
+    LogLine(LogLevel::kInfo, "reload").Field("valid", now.has_value());
+    if (now) settings_.seeds = now->seeds;
+    WaitForSignal();
+  });
+}
+
+void RelayNode::Drain() {
+  draining_ = true;
+  LogLine(LogLevel::kInfo, "drain_started");
+  link_->SetDraining();
+  Duration transactions = settings_.grace / 2;
+  Duration limit = std::max(settings_.grace - kExitMargin, Millis(1));
+  asio::post(traffic_, [this, transactions, limit] {
+    relay_->Drain(transactions, limit, [this] {
+      relay_->Stop();
+      asio::post(control_, [this] { control_.stop(); });
+    });
+  });
+}
+
+void RelayNode::Run() {
+  std::thread traffic([this] { traffic_.run(); });
+  control_.run();
+  link_->Stop();
+  traffic_work_.reset();
+  traffic_.stop();
+  traffic.join();
+  LogLine(LogLevel::kInfo, "stopped");
+}
+
+}  // namespace cardamomchute
--- a/apps/cardamomchuted/traffic.h
+++ b/apps/cardamomchuted/traffic.h
@@ -15,7 +15,7 @@
 #include "cardamomchute/peers/channel_mesh.h"
 #include "cardamomchute/peers/channel_router.h"
 #include "cardamomchute/peers/control_client.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/metrics.h"
 
 namespace cardamomchute {
 
--- a/callers/include/cardamomchute/callers/caller_server.h
+++ b/callers/include/cardamomchute/callers/caller_server.h
@@ -11,7 +11,7 @@
 #include "cardamomchute/base/error.h"
 #include "cardamomchute/base/ids.h"
 #include "cardamomchute/channel/channel.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/metrics.h"
 #include "cardamomchute/policy/view.h"
 
 namespace cardamomchute {
--- a/callers/src/caller_connection.h
+++ b/callers/src/caller_connection.h
@@ -17,7 +17,7 @@
 #include "caller_session.h"
 #include "cancel_registry.h"
 #include "cardamomchute/base/error.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/metrics.h"
 
 namespace cardamomchute {
 
--- a/callers/src/statement_counts.h
+++ b/callers/src/statement_counts.h
@@ -6,7 +6,7 @@
 #include <atomic>
 
 #include "cardamomchute/base/ids.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/metrics.h"
 
 namespace cardamomchute {
 
--- a/endpoints/include/cardamomchute/endpoints/owner.h
+++ b/endpoints/include/cardamomchute/endpoints/owner.h
@@ -10,7 +10,7 @@
 #include "cardamomchute/base/ids.h"
 #include "cardamomchute/channel/channel.h"
 #include "cardamomchute/peers/control_client.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/metrics.h"
 #include "cardamomchute/policy/view.h"
 
 namespace cardamomchute {
--- /dev/null
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -0,0 +1,68 @@
+/// A relay's link to control: reports itself, and learns of layouts,
+/// endpoints and other relays. Lives on the control thread.
+///
+/// Any control member will do. One that loses touch with the quorum says
+/// farewell, and another is tried.
+#ifndef CARDAMOMCHUTE_FLEET_CONTROL_LINK_H_
+#define CARDAMOMCHUTE_FLEET_CONTROL_LINK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cardamomchute/fleet/messages.h"
+#include "cardamomchute/peers/link.h"
+
+namespace cardamomchute {
+
+struct ControlLinkParts {
+  boost::asio::io_context* io = nullptr;
+  VmId vm;
+  Zone zone;
+  Address peers;  ///< where other relays reach this one
+  std::function<void(const DirectoryPush&)> on_push;
+  /// Seeds as the settings have them now; asked for when nobody is reached.
+  std::function<std::vector<Address>()> seeds;
+};
+
+class ControlLink : public std::enable_shared_from_this<ControlLink> {
+ public:
+  explicit ControlLink(ControlLinkParts parts);
+
+  void Start();
+  void SetDraining();
+  void SetLayoutVersion(uint64_t version) { layout_version_ = version; }
+  void Report(const GroupId& group, const EndpointId& endpoint,
+              Trouble trouble);
+  bool connected() const { return link_ != nullptr; }
+  void Stop();
+
+ private:
+  void Tick();
+  void Dial();
+  void OnDialled(const Address& address, std::shared_ptr<Link> link);
+  void OnFrame(std::string_view body);
+  void Lose(const std::string& reason);
+  void SendReport();
+
+  ControlLinkParts parts_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<Link> link_;
+  std::vector<Address> members_;  ///< as the last push named them
+  size_t next_member_ = 0;
+  bool dialling_ = false;
+  bool stopped_ = false;
+  bool draining_ = false;
+  uint64_t layout_version_ = 0;
+  uint64_t run_ms_ = 0;
+  uint64_t sequence_ = 0;
+  Time next_report_;
+  Time next_dial_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_FLEET_CONTROL_LINK_H_
--- /dev/null
+++ b/fleet/src/control_link.cc
@@ -0,0 +1,147 @@
+#include "cardamomchute/fleet/control_link.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <utility>
+
+#include "cardamomchute/base/log.h"
+
+namespace cardamomchute {
+namespace {
+
+constexpr Duration kTick = Millis(200);
+constexpr Duration kReportInterval = Seconds(2);
+constexpr Duration kDialInterval = Millis(200);
+constexpr Duration kDialTimeout = Millis(600);
+constexpr LinkTiming kTiming = {Millis(400), Millis(1600)};
+
+uint64_t WallClockMs() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+ControlLink::ControlLink(ControlLinkParts parts)
+    : parts_(std::move(parts)),
+      timer_(*parts_.io),
+      run_ms_(WallClockMs()) {
+  // Relays spread over the members, each beginning at another one.
+  next_member_ = std::hash<std::string>()(parts_.vm.value());
+}
+
+void ControlLink::Start() { Tick(); }
+
+void ControlLink::Tick() {
+  if (stopped_) return;
+  Time now = Now();
+  if (link_ && now >= next_report_) SendReport();
+  if (!link_ && !dialling_ && now >= next_dial_) Dial();
+  timer_.expires_after(std::chrono::milliseconds(kTick.ms()));
+  std::weak_ptr<ControlLink> weak = weak_from_this();
+  timer_.async_wait([weak](boost::system::error_code cancelled) {
+    std::shared_ptr<ControlLink> self = weak.lock();
+    if (self && !cancelled) self->Tick();
+  });
+}
+
+/// Members that were named last come first, then the settings' seeds.
+void ControlLink::Dial() {
+  std::vector<Address> candidates = members_;
+  for (const Address& seed : parts_.seeds()) {
+    bool known = std::find(candidates.begin(), candidates.end(), seed) !=
+                 candidates.end();
+    if (!known) candidates.push_back(seed);
+  }
+  if (candidates.empty()) return;
+  dialling_ = true;
+  next_dial_ = Now() + kDialInterval;
+  Address address = candidates[next_member_++ % candidates.size()];
+  std::weak_ptr<ControlLink> weak = weak_from_this();
+  ConnectLink(
+      parts_.io->get_executor(), address, kDialTimeout,
+      [weak, address](std::shared_ptr<Link> link) {
+        std::shared_ptr<ControlLink> self = weak.lock();
+        if (self) return self->OnDialled(address, std::move(link));
+        if (link) link->Close();
+      },
+      kTiming);
+}
+
+void ControlLink::OnDialled(const Address& address,
+                            std::shared_ptr<Link> link) {
+  dialling_ = false;
+  if (!link) return;
+  if (stopped_) return link->Close();
+  link_ = link;
+  LogLine(LogLevel::kInfo, "control_link_up").Field("member", ToString(address));
+  std::weak_ptr<ControlLink> weak = weak_from_this();
+  link->Start(
+      [weak](FrameType type, std::string_view body) {
+        std::shared_ptr<ControlLink> self = weak.lock();
+        if (self && type == FrameType::kControl) self->OnFrame(body);
+      },
+      [weak](const std::string& reason) {
+        std::shared_ptr<ControlLink> self = weak.lock();
+        if (self) self->Lose(reason);
+      });
+  SendReport();
+}
+
+void ControlLink::SendReport() {
+  next_report_ = Now() + kReportInterval;
+  RelayReport report;
+  report.relay.vm = parts_.vm;
+  report.relay.address = parts_.peers;
+  report.relay.zone = parts_.zone;
+  report.relay.draining = draining_;
+  report.relay.run_ms = run_ms_;
+  report.relay.sequence = ++sequence_;
+  report.layout_version = layout_version_;
+  link_->Send(FrameType::kControl, PackVariant(FleetMessage(report)));
+}
+
+void ControlLink::OnFrame(std::string_view body) {
+  Result<FleetMessage> message = UnpackVariant<FleetMessage>(body);
+  if (!message) return Lose(ToString(message.error()));
+  if (const auto* push = std::get_if<DirectoryPush>(&message.value())) {
+    if (!push->members.empty()) members_ = push->members;
+    return parts_.on_push(*push);
+  }
+  if (const auto* farewell = std::get_if<Farewell>(&message.value())) {
+    if (!farewell->members.empty()) members_ = farewell->members;
+    Lose("the control member has lost touch");
+  }
+}
+
+void ControlLink::Lose(const std::string& reason) {
+  if (!link_) return;
+  LogLine(LogLevel::kInfo, "control_link_lost").Field("reason", reason);
+  link_->Close();
+  link_ = nullptr;
+}
+
+void ControlLink::SetDraining() {
+  draining_ = true;
+  if (link_) SendReport();
+}
+
+void ControlLink::Report(const GroupId& group, const EndpointId& endpoint,
+                         Trouble trouble) {
+  if (!link_) return;
+  link_->Send(FrameType::kControl,
+              PackVariant(FleetMessage(
+                  TroubleReport{group, endpoint, trouble, parts_.vm})));
+}
+
+void ControlLink::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+  if (link_) link_->Close();
+  link_ = nullptr;
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/fleet/src/node_settings.cc
@@ -0,0 +1,98 @@
+#include "cardamomchute/fleet/node_settings.h"
+
+#include "cardamomchute/base/settings.h"
+#include "cardamomchute/base/toml_reader.h"
+
+namespace cardamomchute {
+namespace {
+
+constexpr IntegerRange kGraceRangeS = {1, 600};
+
+void ReadKind(TableReader* top, NodeSettings* settings) {
+  std::string kind = top->Text("kind", "write \"relay\" or \"steward\"");
+  if (kind == "steward") {
+    settings->kind = NodeKind::kSteward;
+  } else if (!kind.empty() && kind != "relay") {
+    top->AddFault("kind", "\"" + kind + "\" is no kind",
+                  "write \"relay\" or \"steward\"");
+  }
+}
+
+void ReadListen(TableReader* top, NodeSettings* settings) {
+  std::optional<TableReader> listen = top->Table("listen");
+  if (!listen) {
+    top->AddFault("listen", "is missing", "write [listen] peers = \"IP:port\"");
+    return;
+  }
+  settings->peers = listen->AddressAt("peers");
+  settings->callers = listen->OptionalAddressAt("callers");
+  settings->ready = listen->OptionalAddressAt("ready");
+  settings->http = listen->OptionalAddressAt("http");
+  bool relay = settings->kind == NodeKind::kRelay;
+  if (relay && !settings->callers)
+    listen->AddFault("callers", "is missing", "a relay needs it: \"IP:port\"");
+  if (relay && !settings->ready)
+    listen->AddFault("ready", "is missing", "a relay needs it: \"IP:port\"");
+  if (!relay && !settings->http)
+    listen->AddFault("http", "is missing", "a steward needs it: \"IP:port\"");
+  listen->Finish();
+}
+
+void ReadControl(TableReader* top, NodeSettings* settings) {
+  std::optional<TableReader> control = top->Table("control");
+  if (!control) {
+    top->AddFault("control", "is missing",
+                  "write [control] seeds = [\"IP:port\", ...]");
+    return;
+  }
+  for (const std::string& text : control->Texts(
+           "seeds", "name control members: seeds = [\"IP:port\", ...]")) {
+    std::optional<Address> seed = ParseAddress(text);
+    if (!seed) {
+      control->AddFault("seeds", "\"" + text + "\" is no address",
+                        "write \"IP:port\"");
+      continue;
+    }
+    seed->port = settings->peers.port;
+    settings->seeds.push_back(*seed);
+  }
+  settings->may_found = control->BoolOr("may_found", false);
+  settings->data_folder = control->TextOr("data_folder", "");
+  settings->promote_at = control->OptionalAddressAt("promote_at");
+  if (settings->kind == NodeKind::kSteward && settings->data_folder.empty())
+    control->AddFault("data_folder", "is missing",
+                      "a steward needs a folder of its own");
+  control->Finish();
+}
+
+}  // namespace
+
+NodeSettingsOutcome ParseNodeSettings(std::string_view toml) {
+  NodeSettingsOutcome outcome;
+  std::optional<toml::table> table = ParseToml(toml, &outcome.faults);
+  if (!table) return outcome;
+  TableReader top(*table, "", &outcome.faults);
+  NodeSettings settings;
+  ReadKind(&top, &settings);
+  settings.vm = VmId(top.Text("vm", "name this VM, e.g. \"entry-1\""));
+  settings.zone = Zone(top.Text("zone", "name its availability zone"));
+  settings.log_level = top.TextOr("log_level", "info");
+  ReadListen(&top, &settings);
+  ReadControl(&top, &settings);
+  if (std::optional<TableReader> drain = top.Table("drain")) {
+    settings.grace =
+        Seconds(drain->Integer("grace_s", kGraceRangeS, settings.grace.ms() / 1000));
+    drain->Finish();
+  }
+  top.Finish();
+  if (outcome.faults.empty()) outcome.settings = std::move(settings);
+  return outcome;
+}
+
+bool IsNodeSettings(std::string_view toml) {
+  std::vector<Fault> ignored;  // the parser that is chosen reports them
+  std::optional<toml::table> table = ParseToml(toml, &ignored);
+  return table && table->contains("kind");
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/fleet/src/steward.cc
@@ -0,0 +1,340 @@
+#include "cardamomchute/fleet/steward.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cardamomchute/base/log.h"
+#include "cardamomchute/base/pack.h"
+
+namespace cardamomchute {
+namespace {
+
+constexpr Duration kTick = Millis(40);
+/// What routing needs is gathered this long before it is sent on.
+constexpr Duration kFlushInterval = Millis(40);
+/// A silent voter is let go this long after a newer one has joined.
+constexpr Duration kReplaceAfter = Seconds(6);
+constexpr uint64_t kSnapshotAfter = 200;
+constexpr uint64_t kSnapshotBytes = 4 * 1024 * 1024;
+
+VmId MemberVm(const Address& address) { return VmId(ToString(address)); }
+
+std::vector<ControlSeed> ToSeeds(const std::vector<Address>& addresses) {
+  std::vector<ControlSeed> seeds;
+  for (const Address& address : addresses)
+    seeds.push_back(ControlSeed{MemberVm(address), address});
+  return seeds;
+}
+
+std::string PackMessage(const FleetMessage& message) {
+  return PackVariant(message);
+}
+
+}  // namespace
+
+Steward::Steward(StewardParts parts)
+    : parts_(std::move(parts)),
+      rounds_([this] { return host_->BeginRound(); }) {}
+
+Steward::~Steward() { Stop(); }
+
+Status Steward::Start() {
+  QuorumHostSettings settings;
+  settings.vm = MemberVm(parts_.listen);
+  settings.listen = parts_.listen;
+  settings.data_folder = parts_.data_folder;
+  settings.snapshot_after = kSnapshotAfter;
+  settings.snapshot_bytes = kSnapshotBytes;
+  settings.may_found = parts_.may_found;
+  settings.tick = kTick;
+  settings.replace_after = kReplaceAfter;
+  BOOST_OUTCOME_TRY(host, QuorumHost::Open(*parts_.io, std::move(settings)));
+  host_ = host;
+  host_->Start(ToSeeds(parts_.seeds), Hooks());
+  return Ok();
+}
+
+void Steward::Stop() {
+  if (!host_) return;
+  host_->Stop();
+  for (const auto& [group, run] : successions_) run->Stop();
+  successions_.clear();
+  relays_.clear();
+}
+
+void Steward::SetSeeds(const std::vector<Address>& seeds) {
+  parts_.seeds = seeds;
+  host_->SetSeeds(ToSeeds(seeds));
+}
+
+QuorumHooks Steward::Hooks() {
+  // A stopped host calls no hook, and the destructor stops it.
+  QuorumHooks hooks;
+  hooks.apply = [this](const LogEntry& entry) { Apply(entry); };
+  hooks.restore = [this](const std::string& bytes) { Restore(bytes); };
+  hooks.pack = [this] { return Pack(layout_); };
+  hooks.on_reign = [this](bool leads) { OnReign(leads); };
+  hooks.on_confirmed = [this](Round round) { rounds_.OnConfirmed(round); };
+  hooks.on_tick = [this](Time now) { OnTick(now); };
+  hooks.after_drive = [] {};
+  hooks.on_frame = [this](const LinkPtr& link, FrameType type,
+                          std::string_view body) {
+    if (type == FrameType::kControl) OnFrame(link, body);
+  };
+  hooks.on_link_lost = [this](const LinkPtr& link) {
+    relays_.erase(link.get());
+  };
+  hooks.on_member_link = [this](const VmId& vm) {
+    DirectoryPush push;
+    push.delta = Whole(directory_);
+    host_->SendTo(vm, FrameType::kControl, PackMessage(push));
+  };
+  hooks.admits = [](const MemberHello&) { return true; };
+  hooks.excludes = [](const VmId&) { return false; };
+  hooks.on_failure = parts_.on_failure;
+  return hooks;
+}
+
+// ---- layouts ---------------------------------------------------------------
+
+void Steward::Apply(const LogEntry& entry) {
+  bool newer = false;
+  if (entry.kind == EntryKind::kCommand) {
+    Result<StoredLayout> stored = Unpack<StoredLayout>(entry.command);
+    if (!stored) return host_->Fail(stored.error());
+    newer = stored.value().version > layout_.version;
+    if (newer) layout_ = std::move(stored.value());
+  }
+  if (newer) {
+    Result<Layout> parsed = parts_.read_layout(layout_.text);
+    if (!parsed) return host_->Fail(parsed.error());
+    parsed_ = std::move(parsed.value());
+    LogLine(LogLevel::kInfo, "layout_applied")
+        .Field("version", layout_.version)
+        .Field("index", entry.index)
+        .Field("bytes", layout_.text.size());
+    PushLayout();
+  }
+  auto pending = pending_.find(entry.index);
+  if (pending == pending_.end()) return;
+  LayoutDone done = std::move(pending->second.done);
+  bool same = pending->second.term == entry.term;
+  pending_.erase(pending);
+  LayoutAnswer answer;
+  if (same) answer.outcome = CallOutcome::kDone;
+  done(std::move(answer));
+}
+
+void Steward::Restore(const std::string& bytes) {
+  if (bytes.empty()) return;
+  Result<StoredLayout> stored = Unpack<StoredLayout>(bytes);
+  if (!stored) return host_->Fail(stored.error());
+  if (stored.value().version <= layout_.version) return;
+  layout_ = std::move(stored.value());
+  if (layout_.version == 0) return;
+  Result<Layout> parsed = parts_.read_layout(layout_.text);
+  if (!parsed) return host_->Fail(parsed.error());
+  parsed_ = std::move(parsed.value());
+  if (host_) PushLayout();
+}
+
+LayoutAnswer Steward::Elsewhere() const {
+  LayoutAnswer answer;
+  const QuorumState& quorum = host_->quorum();
+  auto leader = quorum.config.members.find(quorum.leader);
+  bool known = leader != quorum.config.members.end() &&
+               quorum.leader != quorum.self && host_->InTouch(Now());
+  if (!known) return answer;
+  answer.outcome = CallOutcome::kElsewhere;
+  answer.leader = leader->second.address.host;
+  return answer;
+}
+
+void Steward::PutLayout(std::string text, LayoutDone done) {
+  Result<Layout> read = parts_.read_layout(text);
+  if (!read) {
+    LogLine(LogLevel::kInfo, "layout_refused")
+        .Field("error", ToString(read.error()));
+    return done({CallOutcome::kInvalid, ToString(read.error()), ""});
+  }
+  if (!host_->leading()) return done(Elsewhere());
+  uint64_t version = read.value().version;
+  LogLine(LogLevel::kInfo, "layout_submitted")
+      .Field("version", version)
+      .Field("held", layout_.version)
+      .Field("routes", read.value().routes.size());
+  if (version <= layout_.version) {
+    rounds_.Add({[done] { done({CallOutcome::kDone, "", ""}); },
+                 [done] { done({}); }});
+    return;
+  }
+  std::optional<LogIndex> index =
+      host_->ProposeBytes(Pack(StoredLayout{version, std::move(text)}));
+  if (!index) return done(Elsewhere());
+  pending_[*index] = PendingPut{host_->quorum().vote.term, std::move(done)};
+}
+
+void Steward::GetLayout(LayoutDone done) {
+  if (!host_->leading()) return done(Elsewhere());
+  rounds_.Add({[this, done] {
+                 if (layout_.version == 0) return done({});
+                 done({CallOutcome::kDone, layout_.text, ""});
+               },
+               [done] { done({}); }});
+}
+
+void Steward::OnReign(bool leads) {
+  rounds_.Abandon();
+  std::map<LogIndex, PendingPut> pending = std::exchange(pending_, {});
+  for (auto& [index, put] : pending) put.done({});
+  for (const auto& [group, run] : successions_) run->Stop();
+  successions_.clear();
+  changes_ = 0;
+  tokens_ = 0;
+  if (leads) next_review_.clear();
+}
+
+// ---- relays and members ----------------------------------------------------
+
+void Steward::OnFrame(const LinkPtr& link, std::string_view body) {
+  Result<FleetMessage> read = UnpackVariant<FleetMessage>(body);
+  if (!read) {
+    LogLine(LogLevel::kWarn, "fleet_message_refused")
+        .Field("from", link->remote())
+        .Field("error", ToString(read.error()));
+    relays_.erase(link.get());
+    return host_->Drop(link);
+  }
+  const FleetMessage& message = read.value();
+  if (const auto* report = std::get_if<RelayReport>(&message))
+    return OnRelayReport(link, *report);
+  if (const auto* trouble = std::get_if<TroubleReport>(&message))
+    return OnTrouble(*trouble);
+  if (const auto* push = std::get_if<DirectoryPush>(&message))
+    return TakeDelta(push->delta, true);
+}
+
+void Steward::OnRelayReport(const LinkPtr& link, const RelayReport& report) {
+  bool first = !relays_.contains(link.get());
+  if (first && !host_->InTouch(Now())) {
+    link->Send(FrameType::kControl,
+               PackMessage(Farewell{BarePush().members}));
+    return;
+  }
+  relays_[link.get()] = RelayLink{link, report.relay.vm};
+  DirectoryDelta delta;
+  delta.relays.push_back(report.relay);
+  TakeDelta(delta, false);
+  if (first) SendWhole(link, report.layout_version);
+}
+
+/// Merges; what is new goes to the relays here, and what came first-hand to
+/// the other members.
+void Steward::TakeDelta(const DirectoryDelta& delta, bool from_member) {
+  DirectoryDelta changed = Merge(directory_, delta, Now());
+  auto append = [](DirectoryDelta* to, const DirectoryDelta& from) {
+    to->endpoints.insert(to->endpoints.end(), from.endpoints.begin(),
+                         from.endpoints.end());
+    to->relays.insert(to->relays.end(), from.relays.begin(),
+                      from.relays.end());
+    for (const auto& [group, lead] : from.leads) to->leads[group] = lead;
+  };
+  append(&to_relays_, changed);
+  if (!from_member) append(&to_members_, delta);
+  for (const EndpointRecord& record : changed.endpoints) {
+    LogLine(LogLevel::kInfo, "endpoint")
+        .Field("endpoint", record.id)
+        .Field("group", record.group)
+        .Field("address", ToString(record.address))
+        .Field("leaving", record.leaving)
+        .Field("gone", record.gone)
+        .Field("claims_lead", record.claims_lead)
+        .Field("born_ms", record.born_ms)
+        .Field("sequence", record.sequence)
+        .Field("first_hand", !from_member);
+  }
+}
+
+DirectoryPush Steward::BarePush() const {
+  DirectoryPush push;
+  for (const auto& [id, member] : host_->quorum().config.members)
+    push.members.push_back(member.address);
+  return push;
+}
+
+void Steward::SendWhole(const LinkPtr& link, uint64_t known_version) {
+  DirectoryPush push = BarePush();
+  push.delta = Whole(directory_);
+  // A link takes only a short frame first.
+  link->Send(FrameType::kControl, PackMessage(BarePush()));
+  if (layout_.version > known_version) push.layout = layout_;
+  link->Send(FrameType::kControl, PackMessage(push));
+}
+
+void Steward::PushLayout() {
+  DirectoryPush push = BarePush();
+  push.layout = layout_;
+  std::string message = PackMessage(push);
+  for (const auto& [key, relay] : relays_)
+    relay.link->Send(FrameType::kControl, message);
+}
+
+void Steward::Flush() {
+  if (!to_relays_.Empty() && !relays_.empty()) {
+    DirectoryPush push = BarePush();
+    push.delta = to_relays_;
+    std::string message = PackMessage(push);
+    for (const auto& [key, relay] : relays_)
+      relay.link->Send(FrameType::kControl, message);
+  }
+  to_relays_ = DirectoryDelta();
+  if (to_members_.Empty()) return;
+  DirectoryPush push;
+  push.delta = std::exchange(to_members_, DirectoryDelta());
+  host_->SendToAll(FrameType::kControl, PackMessage(push));
+}
+
+/// Relays that stay here would not hear of what the quorum accepts.
+void Steward::SendFarewells() {
+  std::string message = PackMessage(Farewell{BarePush().members});
+  for (const auto& [key, relay] : relays_)
+    relay.link->Send(FrameType::kControl, message);
+  relays_.clear();
+}
+
+bool Steward::Announce(const EndpointRecord& record) {
+  if (!host_->InTouch(Now())) return false;
+  DirectoryDelta delta;
+  delta.endpoints.push_back(record);
+  TakeDelta(delta, false);
+  return true;
+}
+
+bool Steward::Leave(const EndpointId& endpoint) {
+  if (!host_->InTouch(Now())) return false;
+  auto known = directory_.endpoints.find(endpoint);
+  if (known == directory_.endpoints.end()) return true;
+  DirectoryDelta delta;
+  delta.endpoints.push_back(known->second);
+  delta.endpoints.back().gone = true;
+  TakeDelta(delta, false);
+  return true;
+}
+
+void Steward::OnTick(Time now) {
+  bool in_touch = host_->InTouch(now);
+  if (!in_touch && !out_of_touch_) SendFarewells();
+  out_of_touch_ = !in_touch;
+  DirectoryDelta expired = Expire(directory_, now);
+  to_relays_.relays.insert(to_relays_.relays.end(), expired.relays.begin(),
+                           expired.relays.end());
+  if (host_->leading()) {
+    rounds_.StartIfDue();
+    ReviewLeads(now);
+  }
+  if (now < next_flush_) return;
+  next_flush_ = now + kFlushInterval;
+  Flush();
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/fleet/src/steward_leads.cc
@@ -0,0 +1,150 @@
+/// The leading control member's care for who leads each group.
+#include <algorithm>
+#include <set>
+
+#include "cardamomchute/base/log.h"
+#include "cardamomchute/fleet/steward.h"
+
+namespace cardamomchute {
+namespace {
+
+/// An endpoint that has not announced itself for this long, and that nobody
+/// reaches, has taken its log with it.
+constexpr Duration kLostForGood = Seconds(15);
+/// Between two looks at the same group for the same reason.
+constexpr Duration kReviewPause = Millis(400);
+/// Tokens of one reign are below those of the next.
+constexpr uint64_t kTokensPerReign = 1 << 20;
+
+}  // namespace
+
+std::set<GroupId> Steward::Groups() const {
+  std::set<GroupId> groups;
+  if (!parsed_) return groups;
+  for (const auto& [group, bounds] : parsed_->groups) groups.insert(group);
+  return groups;
+}
+
+std::vector<EndpointRecord> Steward::CountedMembers(
+    const GroupId& group) const {
+  std::vector<EndpointRecord> counted;
+  Time now = Now();
+  for (const EndpointRecord& member : MembersOf(directory_, group)) {
+    auto heard = directory_.endpoint_heard.find(member.id);
+    bool lost = heard != directory_.endpoint_heard.end() &&
+                now - heard->second > kLostForGood;
+    if (!lost) counted.push_back(member);
+  }
+  return counted;
+}
+
+void Steward::ReviewLeads(Time now) {
+  for (const GroupId& group : Groups()) {
+    if (!successions_.contains(group)) ReviewLead(group, now);
+  }
+}
+
+void Steward::ReviewLead(const GroupId& group, Time now) {
+  std::vector<EndpointRecord> members = MembersOf(directory_, group);
+  std::vector<EndpointRecord> claimants;
+  for (const EndpointRecord& member : members) {
+    if (member.claims_lead) claimants.push_back(member);
+  }
+  const EndpointRecord* lead = LeadOf(directory_, group);
+  auto known = directory_.leads.find(group);
+  bool never_known = known == directory_.leads.end();
+  if (never_known && claimants.size() == 1)
+    return SetLead(group, claimants.front().id, Term());
+  if (never_known && claimants.empty()) return;
+  if (now < next_review_[group]) return;
+  bool contradicted =
+      lead == nullptr || claimants.size() != 1 ||
+      claimants.front().id != lead->id;
+  if (lead != nullptr && lead->leaving) {
+    bool can_follow = std::any_of(
+        members.begin(), members.end(), [lead](const EndpointRecord& member) {
+          return member.id != lead->id && !member.leaving;
+        });
+    if (can_follow) return StartSuccession(group, SuccessionCause::kLeaving);
+  }
+  if (contradicted) StartSuccession(group, SuccessionCause::kReview);
+}
+
+void Steward::OnTrouble(const TroubleReport& report) {
+  if (!host_->leading()) {
+    const QuorumState& quorum = host_->quorum();
+    auto leader = quorum.config.members.find(quorum.leader);
+    if (leader == quorum.config.members.end()) return;
+    host_->SendTo(leader->second.vm, FrameType::kControl,
+                  PackVariant(FleetMessage(report)));
+    return;
+  }
+  const EndpointRecord* lead = LeadOf(directory_, report.group);
+  bool of_lead = lead != nullptr && lead->id == report.endpoint;
+  if (!of_lead || successions_.contains(report.group)) return;
+  if (Now() < next_review_[report.group]) return;
+  LogLine(LogLevel::kInfo, "lead_trouble")
+      .Field("group", report.group)
+      .Field("endpoint", report.endpoint)
+      .Field("trouble", ToString(report.trouble))
+      .Field("observer", report.observer);
+  StartSuccession(report.group, report.trouble == Trouble::kStalled
+                                    ? SuccessionCause::kStalled
+                                    : SuccessionCause::kTrouble);
+}
+
+void Steward::SetLead(const GroupId& group, const EndpointId& endpoint,
+                      Term term) {
+  auto known = directory_.leads.find(group);
+  bool same = known != directory_.leads.end() &&
+              known->second.endpoint == endpoint &&
+              (known->second.term == term || term == Term());
+  if (same) return;
+  LeadRecord lead;
+  lead.endpoint = endpoint;
+  lead.reign = host_->quorum().vote.term.value();
+  lead.change = ++changes_;
+  lead.term = term;
+  LogLine(LogLevel::kInfo, "lead_set")
+      .Field("group", group)
+      .Field("endpoint", endpoint)
+      .Field("term", term)
+      .Field("reign", lead.reign)
+      .Field("change", lead.change);
+  DirectoryDelta delta;
+  delta.leads[group] = lead;
+  TakeDelta(delta, false);
+  Flush();
+}
+
+void Steward::StartSuccession(const GroupId& group, SuccessionCause cause) {
+  SuccessionParts parts;
+  parts.executor = parts_.io->get_executor();
+  parts.protocol = &parts_.endpoint_protocol;
+  parts.group = group;
+  auto lead = directory_.leads.find(group);
+  if (lead != directory_.leads.end()) parts.lead = lead->second.endpoint;
+  parts.cause = cause;
+  parts.holder = parts_.name;
+  parts.members = [this, group] { return CountedMembers(group); };
+  parts.next_token = [this] {
+    return host_->quorum().vote.term.value() * kTokensPerReign + ++tokens_;
+  };
+  parts.confirm = [this](std::function<void()> run) {
+    rounds_.Add({std::move(run), [] {}});
+  };
+  parts.promote = parts_.promote;
+  parts.adopt = [this, group](const EndpointId& endpoint, Term term) {
+    SetLead(group, endpoint, term);
+  };
+  parts.done = [this, group] {
+    next_review_[group] = Now() + kReviewPause;
+    successions_.erase(group);
+  };
+  std::shared_ptr<SuccessionRun> run =
+      std::make_shared<SuccessionRun>(std::move(parts));
+  successions_[group] = run;
+  run->Start();
+}
+
+}  // namespace cardamomchute
--- a/platform/include/cardamomchute/platform/http_server.h
+++ b/http/include/cardamomchute/http/http_server.h
@@ -4,8 +4,8 @@
 ///     HttpServer server(&io);
 ///     server.AddRoutes({{"GET", "/v1/groups/{group}", handle}});
 ///     server.Start(address);
-#ifndef CARDAMOMCHUTE_PLATFORM_HTTP_SERVER_H_
-#define CARDAMOMCHUTE_PLATFORM_HTTP_SERVER_H_
+#ifndef CARDAMOMCHUTE_HTTP_HTTP_SERVER_H_
+#define CARDAMOMCHUTE_HTTP_HTTP_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -33,6 +33,7 @@
   uint32_t status = 200;
   std::string content_type = "application/json";
   std::string body;
+  std::map<std::string, std::string> headers = {};  ///< others, by name
 };
 
 using HttpDone = std::function<void(HttpResponse)>;
@@ -75,4 +76,4 @@
 
 }  // namespace cardamomchute
 
-#endif  // CARDAMOMCHUTE_PLATFORM_HTTP_SERVER_H_
+#endif  // CARDAMOMCHUTE_HTTP_HTTP_SERVER_H_
--- a/platform/src/http_route.h
+++ b/http/src/http_route.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "cardamomchute/platform/http_server.h"
+#include "cardamomchute/http/http_server.h"
 
 namespace cardamomchute {
 
--- a/platform/src/http_server.cc
+++ b/http/src/http_server.cc
@@ -1,4 +1,4 @@
-#include "cardamomchute/platform/http_server.h"
+#include "cardamomchute/http/http_server.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,7 +27,7 @@
 }
 
 HttpResponse Refusal(uint32_t status, std::string text) {
-  return HttpResponse{status, "text/plain; charset=utf-8", text + "\n"};
+  return HttpResponse{status, "text/plain; charset=utf-8", text + "\n", {}};
 }
 
 /// The answer to what could not be read as a request; none when the
@@ -166,6 +166,8 @@
     response_.version(11);
     response_.result(response.status);
     response_.set(http::field::content_type, response.content_type);
+    for (const auto& [name, value] : response.headers)
+      response_.set(name, value);
     response_.keep_alive(keep_alive_);
     response_.body() = std::move(response.body);
     response_.prepare_payload();
--- a/platform/test/http_client-test.cc
+++ b/http/test/http_client-test.cc
@@ -1,4 +1,4 @@
-#include "cardamomchute/platform/http_client.h"
+#include "cardamomchute/http/http_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/platform/test/http_server-test.cc
+++ b/http/test/http_server-test.cc
@@ -1,4 +1,4 @@
-#include "cardamomchute/platform/http_server.h"
+#include "cardamomchute/http/http_server.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -7,7 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
-#include "cardamomchute/platform/http_client.h"
+#include "cardamomchute/http/http_client.h"
 #include "running_server.h"
 
 namespace cardamomchute {
--- a/platform/test/running_server.h
+++ b/http/test/running_server.h
@@ -6,7 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
-#include "cardamomchute/platform/http_server.h"
+#include "cardamomchute/http/http_server.h"
 
 namespace cardamomchute {
 
--- a/operators/include/cardamomchute/operators/http_api.h
+++ b/operators/include/cardamomchute/operators/http_api.h
@@ -12,7 +12,7 @@
 
 #include <vector>
 
-#include "cardamomchute/platform/http_server.h"
+#include "cardamomchute/http/http_server.h"
 #include "cardamomchute/policy/operations.h"
 
 namespace cardamomchute {
--- a/operators/src/client.cc
+++ b/operators/src/client.cc
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "cardamomchute/operators/json.h"
-#include "cardamomchute/platform/http_client.h"
+#include "cardamomchute/http/http_client.h"
 
 namespace cardamomchute {
 namespace {
--- a/operators/src/http_api.cc
+++ b/operators/src/http_api.cc
@@ -8,7 +8,7 @@
 
 HttpResponse ErrorResponse(const Error& error) {
   return HttpResponse{HttpStatusOf(error.kind), "application/json",
-                      EncodeError(error)};
+                      EncodeError(error), {}};
 }
 
 /// Turns a result into the response that carries it.
@@ -17,7 +17,7 @@
                                          std::string (*encode)(const T&)) {
   return [done = std::move(done), encode](Result<T> result) {
     if (!result.has_value()) return done(ErrorResponse(result.error()));
-    done(HttpResponse{200, "application/json", encode(result.value())});
+    done(HttpResponse{200, "application/json", encode(result.value()), {}});
   };
 }
 
@@ -136,7 +136,7 @@
     Status checked = CheckAnnouncement(given.value(), environment);
     if (!checked.has_value()) return done(ErrorResponse(checked.error()));
     announce(given.value().announcement);
-    done(HttpResponse{200, "application/json", "{\"accepted\":true}"});
+    done(HttpResponse{200, "application/json", "{\"accepted\":true}", {}});
   };
   return {{"POST", "/v1/announce", std::move(handle)}};
 }
--- a/operators/test/http_api-test.cc
+++ b/operators/test/http_api-test.cc
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cardamomchute/operators/json.h"
-#include "cardamomchute/platform/http_client.h"
+#include "cardamomchute/http/http_client.h"
 #include "fake_operator_api.h"
 
 namespace cardamomchute {
--- a/peers/include/cardamomchute/peers/control_messages.h
+++ b/peers/include/cardamomchute/peers/control_messages.h
@@ -1,5 +1,5 @@
-/// Messages of the control quorum: between its members, and between a member
-/// and the agents of VMs. Each travels as one kControl frame.
+/// Messages between a control member and the agents of VMs. Each travels as
+/// one kControl frame.
 #ifndef CARDAMOMCHUTE_PEERS_CONTROL_MESSAGES_H_
 #define CARDAMOMCHUTE_PEERS_CONTROL_MESSAGES_H_
 
@@ -8,33 +8,13 @@
 #include <variant>
 #include <vector>
 
+#include "cardamomchute/peers/quorum_messages.h"
 #include "cardamomchute/policy/control_state.h"
 #include "cardamomchute/policy/control_state_soft.h"
 #include "cardamomchute/policy/lease.h"
-#include "cardamomchute/policy/quorum.h"
-#include "cardamomchute/policy/quorum_pack.h"
 
 namespace cardamomchute {
 
-/// First on a link between members, and again at intervals; also a member's
-/// first answer to an agent.
-struct MemberHello {
-  MemberId id;
-  VmId vm;
-  Address address;
-  bool fresh = false;  ///< its folder holds nothing yet
-  MSGPACK_DEFINE(id, vm, address, fresh)
-};
-
-/// A QuorumMessage; `body` is its packed variant.
-struct QuorumEnvelope {
-  MemberId from;
-  MemberId to;
-  QuorumTerm term;
-  std::string body;
-  MSGPACK_DEFINE(from, to, term, body)
-};
-
 /// First on an agent's link: what the agent knows already.
 struct AgentHello {
   VmId vm;
@@ -140,15 +120,9 @@
 };
 
 using ControlMessage =
-    std::variant<MemberHello, QuorumEnvelope, AgentHello, Renew, Granted,
+    std::variant<MemberHello, AgentHello, Renew, Granted,
                  Redirect, ViewPush, SoftPush, Call, CallAnswer>;
 
-QuorumEnvelope ToEnvelope(const QuorumMessage& message);
-Result<QuorumMessage> FromEnvelope(const QuorumEnvelope& envelope);
-
-/// The VM in "VM#incarnation".
-VmId VmOf(const MemberId& id);
-
 }  // namespace cardamomchute
 
 #endif  // CARDAMOMCHUTE_PEERS_CONTROL_MESSAGES_H_
--- a/peers/include/cardamomchute/peers/link.h
+++ b/peers/include/cardamomchute/peers/link.h
@@ -33,7 +33,15 @@
   kHello = 1,
   kChannel = 2,  ///< ChannelEnvelope, see channel_mesh.h
   kProbe = 3,
-  kControl = 4,  ///< messages of the control quorum and its clients
+  kControl = 4,  ///< between a control member and its clients
+  kQuorum = 5,   ///< between members of a control quorum
+  kRelay = 6,    ///< statements and answers between relays
+};
+
+/// How often a link shows that it is alive, and when the other end is lost.
+struct LinkTiming {
+  Duration heartbeat = kLinkHeartbeat;
+  Duration silence = kLinkSilence;
 };
 
 class Link : public std::enable_shared_from_this<Link> {
@@ -43,7 +51,7 @@
   using LostHandler = std::function<void(const std::string& reason)>;
 
   /// Takes over a connected socket; all calls and handlers on its executor.
-  explicit Link(Socket socket);
+  explicit Link(Socket socket, LinkTiming timing = {});
 
   /// Begins to read. `on_lost` runs once, never within Start or Send.
   void Start(FrameHandler on_frame, LostHandler on_lost);
@@ -51,6 +59,7 @@
   /// Closes without calling `on_lost`.
   void Close();
   size_t unsent_bytes() const { return unsent_bytes_; }
+  Time last_read() const { return last_read_; }
   const std::string& remote() const { return remote_; }
 
  private:
@@ -62,6 +71,7 @@
   void Lose(const std::string& reason);
 
   Socket socket_;
+  LinkTiming timing_;
   boost::asio::steady_timer timer_;
   std::string remote_;
   FrameHandler on_frame_;
@@ -81,7 +91,8 @@
 /// Connects to `address` within `timeout`; the link is null on failure.
 void ConnectLink(boost::asio::any_io_executor executor, Address address,
                  Duration timeout,
-                 std::function<void(std::shared_ptr<Link>)> done);
+                 std::function<void(std::shared_ptr<Link>)> done,
+                 LinkTiming timing = {});
 
 }  // namespace cardamomchute
 
--- a/peers/src/control_calls.cc
+++ b/peers/src/control_calls.cc
@@ -5,7 +5,6 @@
 #include "cardamomchute/base/log.h"
 #include "cardamomchute/peers/link.h"
 #include "control_leader.h"
-#include "member_links.h"
 
 namespace cardamomchute {
 namespace {
@@ -94,22 +93,22 @@
 
 void ControlLeader::Run(const LinkPtr& link, uint64_t id,
                         const HistoryCall& call) {
-  AfterRound(Waiting{link, [this, link, id, call] {
+  AfterRound(link, [this, link, id, call] {
                        SendAnswer(link, id,
                                   Pack(ToStored(FindEnvironment(
                                       member_.state_, call.environment))));
-                     }});
+                     });
 }
 
 void ControlLeader::Run(const LinkPtr& link, uint64_t id,
                         const StatusCall& call) {
-  AfterRound(Waiting{link, [this, link, id, call] {
+  AfterRound(link, [this, link, id, call] {
                        SendAnswer(link, id, Pack(MakeStatus(call.environment)));
-                     }});
+                     });
 }
 
 StatusResult ControlLeader::MakeStatus(const Environment& environment) const {
-  const QuorumState& quorum = member_.quorum_;
+  const QuorumState& quorum = member_.quorum();
   StatusResult status;
   status.term = quorum.vote.term;
   status.view = DeltaSince(member_.state_, environment, Revision());
@@ -136,7 +135,7 @@
 std::vector<ProblemReport> ControlLeader::FindProblems(
     const Environment& environment) const {
   std::vector<ProblemReport> problems;
-  const QuorumState& quorum = member_.quorum_;
+  const QuorumState& quorum = member_.quorum();
   for (const auto& [id, info] : quorum.config.members) {
     auto it = quorum.progress.find(id);
     if (it == quorum.progress.end()) continue;
--- a/peers/src/control_leader.cc
+++ b/peers/src/control_leader.cc
@@ -4,31 +4,18 @@
 
 #include "cardamomchute/base/log.h"
 #include "cardamomchute/peers/link.h"
-#include "member_links.h"
 
 namespace cardamomchute {
 namespace {
 
 constexpr Duration kAssignInterval = Millis(200);
 constexpr Duration kForgetInterval = Seconds(10);
-constexpr Duration kReviewInterval = Millis(200);
-constexpr Duration kGreetingValid = Seconds(2);
 
 void SendMessage(const std::shared_ptr<Link>& link,
                  const ControlMessage& message) {
   link->Send(FrameType::kControl, PackVariant(message));
 }
 
-/// Nothing if no voter would be left.
-std::optional<QuorumConfig> Without(const QuorumConfig& config,
-                                    const MemberId& id) {
-  bool last_voter = IsVoter(config, id) && VoterCount(config) == 1;
-  if (last_voter) return std::nullopt;
-  QuorumConfig next = config;
-  next.members.erase(id);
-  return next;
-}
-
 }  // namespace
 
 void SendAnswer(const std::shared_ptr<Link>& link, uint64_t id,
@@ -51,51 +38,29 @@
 }
 
 ControlLeader::ControlLeader(ControlMember& member, Time now)
-    : member_(member), reign_(member.quorum_.vote.term) {
+    : member_(member),
+      reign_(member.quorum().vote.term),
+      rounds_([&member] { return member.host_->BeginRound(); }) {
   leases_.reign_start = now;
   soft_.start = now;
 }
 
-void ControlLeader::Abandon() {
-  for (std::vector<Waiting>* list : {&next_round_, &in_round_}) {
-    for (const Waiting& waiting : *list) member_.SendRedirect(waiting.link);
-    list->clear();
-  }
-}
-
 void ControlLeader::Tick(Time now) {
   ExpireVms(now);
   MarkUnheardVms(now);
   ExpireEndpoints(soft_, now);
   AssignOwners(now);
   ForgetVms(now);
-  ReviewMembers(now);
-  StartRoundIfDue();
+  rounds_.StartIfDue();
 }
 
 // ---- rounds and leases ---------------------------------------------------
 
-void ControlLeader::AfterRound(Waiting waiting) {
-  next_round_.push_back(std::move(waiting));
-  StartRoundIfDue();
-}
-
-/// One round at a time; what arrives meanwhile waits for the next, since only
-/// a round that began later proves anything.
-void ControlLeader::StartRoundIfDue() {
-  if (round_ || next_round_.empty()) return;
-  round_ = StartRound(member_.quorum_);
-  if (!round_) return;
-  in_round_ = std::exchange(next_round_, {});
-  member_.ScheduleDrive();
-}
-
-void ControlLeader::OnConfirmed(Round round) {
-  if (!round_ || round < *round_) return;
-  round_.reset();
-  std::vector<Waiting> confirmed = std::exchange(in_round_, {});
-  for (const Waiting& waiting : confirmed) waiting.run();
-  StartRoundIfDue();
+void ControlLeader::AfterRound(const LinkPtr& link,
+                               std::function<void()> run) {
+  rounds_.Add({std::move(run), [member = &member_, link] {
+                 member->SendRedirect(link);
+               }});
 }
 
 void ControlLeader::OnRenew(const LinkPtr& link, const Renew& renew) {
@@ -107,7 +72,7 @@
       OnRenewal(leases_, member_.state_, renew.report, now);
   if (verdict == RenewalVerdict::kRegister) Register(renew.report);
   if (verdict != RenewalVerdict::kGrant) return;
-  AfterRound(Waiting{link, [this, link, renew] { Grant(link, renew); }});
+  AfterRound(link, [this, link, renew] { Grant(link, renew); });
 }
 
 void ControlLeader::Grant(const LinkPtr& link, const Renew& renew) {
@@ -204,68 +169,4 @@
   }
 }
 
-// ---- membership ----------------------------------------------------------
-
-bool ControlLeader::Admitted(const MemberHello& hello) const {
-  const ControlState& state = member_.state_;
-  if (state.excluded.contains(hello.vm)) return false;
-  if (state.admitted.contains(hello.vm)) return true;
-  const QuorumConfig& config = member_.quorum_.config;
-  return std::any_of(
-      config.members.begin(), config.members.end(),
-      [&hello](const auto& item) { return item.second.vm == hello.vm; });
-}
-
-/// The next step of a learner that has caught up: its predecessor on the same
-/// VM goes first, then it may vote.
-std::optional<QuorumConfig> ControlLeader::WithPromotion(Time now) const {
-  const QuorumState& quorum = member_.quorum_;
-  for (const auto& [id, info] : quorum.config.members) {
-    if (info.voter || !CaughtUp(quorum, id, now)) continue;
-    for (const auto& [other, other_info] : quorum.config.members) {
-      bool predecessor = other != id && other_info.vm == info.vm;
-      if (predecessor) return Without(quorum.config, other);
-    }
-    QuorumConfig next = quorum.config;
-    next.members[id].voter = true;
-    return next;
-  }
-  return std::nullopt;
-}
-
-std::optional<QuorumConfig> ControlLeader::NextConfig(Time now) const {
-  const QuorumState& quorum = member_.quorum_;
-  for (const auto& [id, info] : quorum.config.members) {
-    if (member_.state_.excluded.contains(info.vm)) {
-      return Without(quorum.config, id);
-    }
-  }
-  for (const auto& [vm, heard] : member_.heard_) {
-    const MemberHello& hello = heard.hello;
-    bool recent = now - heard.at < kGreetingValid;
-    bool known = quorum.config.members.contains(hello.id);
-    if (!recent || known || !Admitted(hello)) continue;
-    QuorumConfig next = quorum.config;
-    std::erase_if(next.members, [&vm = vm](const auto& item) {
-      return item.second.vm == vm && !item.second.voter;
-    });
-    next.members[hello.id] = QuorumMember{vm, hello.address, false};
-    return next;
-  }
-  return WithPromotion(now);
-}
-
-void ControlLeader::ReviewMembers(Time now) {
-  if (now < next_review_) return;
-  next_review_ = now + kReviewInterval;
-  std::optional<QuorumConfig> next = NextConfig(now);
-  if (!next) return;
-  Result<LogIndex> index = ProposeConfig(member_.quorum_, *next);
-  if (!index) return;
-  LogLine line(LogLevel::kInfo, "membership_change");
-  for (const auto& [id, info] : next->members) {
-    line.Field(id.value(), info.voter ? "voter" : "learner");
-  }
-}
-
 }  // namespace cardamomchute
--- a/peers/src/control_leader.h
+++ b/peers/src/control_leader.h
@@ -1,5 +1,5 @@
 /// The duties of the leading control member, for the length of one reign:
-/// leases, owners, endpoints, calls of agents, membership.
+/// leases, owners, endpoints, calls of agents.
 #ifndef CARDAMOMCHUTE_PEERS_SRC_CONTROL_LEADER_H_
 #define CARDAMOMCHUTE_PEERS_SRC_CONTROL_LEADER_H_
 
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "cardamomchute/peers/confirmed_rounds.h"
 #include "cardamomchute/peers/control_member.h"
 
 namespace cardamomchute {
@@ -22,34 +23,23 @@
   void OnRenew(const LinkPtr& link, const Renew& renew);
   void OnCall(const LinkPtr& link, const Call& call);
   /// Rounds up to this one are confirmed.
-  void OnConfirmed(Round round);
+  void OnConfirmed(Round round) { rounds_.OnConfirmed(round); }
   void OnApplied(LogIndex index);
   void Tick(Time now);
   /// The reign is over: sends those who wait elsewhere.
-  void Abandon();
+  void Abandon() { rounds_.Abandon(); }
 
   const SoftState& soft() const { return soft_; }
   QuorumTerm reign() const { return reign_; }
 
  private:
-  /// Work that needs a confirmed leadership first.
-  struct Waiting {
-    LinkPtr link;
-    std::function<void()> run;
-  };
-
-  void AfterRound(Waiting waiting);
-  void StartRoundIfDue();
+  void AfterRound(const LinkPtr& link, std::function<void()> run);
   void Grant(const LinkPtr& link, const Renew& renew);
   void Register(const VmReport& report);
   void ExpireVms(Time now);
   void MarkUnheardVms(Time now);
   void AssignOwners(Time now);
   void ForgetVms(Time now);
-  void ReviewMembers(Time now);
-  bool Admitted(const MemberHello& hello) const;
-  std::optional<QuorumConfig> NextConfig(Time now) const;
-  std::optional<QuorumConfig> WithPromotion(Time now) const;
 
   void Run(const LinkPtr& link, uint64_t id, SubmitDocument command);
   void Run(const LinkPtr& link, uint64_t id, const PromoteDocument& command);
@@ -67,9 +57,7 @@
   QuorumTerm reign_;
   LeaseTable leases_;
   SoftState soft_;
-  std::vector<Waiting> next_round_;
-  std::vector<Waiting> in_round_;
-  std::optional<Round> round_;
+  ConfirmedRounds rounds_;
   /// Proposals under way, so that none is made twice.
   std::map<std::pair<Environment, GroupId>, LogIndex> assigning_;
   std::map<VmId, LogIndex> registering_;
@@ -77,7 +65,6 @@
   bool unheard_marked_ = false;
   Time next_assign_;
   Time next_forget_;
-  Time next_review_;
 };
 
 /// Sends an answer to a call.
--- a/peers/src/link.cc
+++ b/peers/src/link.cc
@@ -28,8 +28,9 @@
 
 }  // namespace
 
-Link::Link(Socket socket)
+Link::Link(Socket socket, LinkTiming timing)
     : socket_(std::move(socket)),
+      timing_(timing),
       timer_(socket_.get_executor()),
       remote_(Describe(socket_)),
       read_bytes_(kMinReadBytes),
@@ -133,17 +134,18 @@
 }
 
 void Link::Tick() {
-  timer_.expires_after(std::chrono::milliseconds(kLinkHeartbeat.ms()));
+  timer_.expires_after(std::chrono::milliseconds(timing_.heartbeat.ms()));
   std::shared_ptr<Link> self = shared_from_this();
   timer_.async_wait([self](error_code error) {
     if (error || self->lost_) return;
     Time now = Now();
-    if (now - self->last_read_ > kLinkSilence) {
+    if (now - self->last_read_ > self->timing_.silence) {
       return self->Lose("peer silent for " +
                         std::to_string((now - self->last_read_).ms()) + " ms");
     }
     bool idle =
-        self->writing_.empty() && now - self->last_write_ >= kLinkHeartbeat / 2;
+        self->writing_.empty() &&
+        now - self->last_write_ >= self->timing_.heartbeat / 2;
     if (idle) self->Send(FrameType::kHeartbeat, "");
     self->Tick();
   });
@@ -166,7 +168,8 @@
 
 void ConnectLink(asio::any_io_executor executor, Address address,
                  Duration timeout,
-                 std::function<void(std::shared_ptr<Link>)> done) {
+                 std::function<void(std::shared_ptr<Link>)> done,
+                 LinkTiming timing) {
   struct Attempt {
     explicit Attempt(const asio::any_io_executor& executor)
         : socket(executor), timer(executor) {}
@@ -191,12 +194,12 @@
   });
   attempt->socket.async_connect(
       asio::ip::tcp::endpoint(ip, address.port),
-      [attempt, done](error_code failed) {
+      [attempt, done, timing](error_code failed) {
         if (attempt->over) return;
         attempt->over = true;
         attempt->timer.cancel();
         if (failed) return done(nullptr);
-        done(std::make_shared<Link>(std::move(attempt->socket)));
+        done(std::make_shared<Link>(std::move(attempt->socket), timing));
       });
 }
 
--- a/peers/src/member_links.cc
+++ b/peers/src/member_links.cc
@@ -12,8 +12,11 @@
 }  // namespace
 
 MemberLinks::MemberLinks(boost::asio::any_io_executor executor,
-                         std::function<std::string()> greeting)
-    : executor_(std::move(executor)), greeting_(std::move(greeting)) {}
+                         std::function<std::string()> greeting,
+                         std::function<void(const VmId&)> on_connected)
+    : executor_(std::move(executor)),
+      greeting_(std::move(greeting)),
+      on_connected_(std::move(on_connected)) {}
 
 void MemberLinks::SetPeers(const std::map<VmId, Address>& peers) {
   for (auto it = peers_.begin(); it != peers_.end();) {
@@ -32,10 +35,16 @@
   }
 }
 
-void MemberLinks::Send(const VmId& vm, std::string message) {
+void MemberLinks::Send(const VmId& vm, FrameType type, std::string message) {
   auto it = peers_.find(vm);
   if (it == peers_.end() || !it->second.link) return;
-  it->second.link->Send(FrameType::kControl, std::move(message));
+  it->second.link->Send(type, std::move(message));
+}
+
+void MemberLinks::SendAll(FrameType type, const std::string& message) {
+  for (auto& [vm, peer] : peers_) {
+    if (peer.link) peer.link->Send(type, message);
+  }
 }
 
 bool MemberLinks::Connected(const VmId& vm) const {
@@ -48,7 +57,7 @@
     bool greet = peer.link && now >= peer.next_greeting;
     if (greet) {
       peer.next_greeting = now + kGreetingInterval;
-      peer.link->Send(FrameType::kControl, greeting_());
+      peer.link->Send(FrameType::kQuorum, greeting_());
     }
     bool dial = !peer.link && !peer.dialling && now >= peer.next_dial;
     if (dial) Dial(vm, peer, now);
@@ -93,7 +102,8 @@
                     .Field("member", vm)
                     .Field("reason", reason);
               });
-  link->Send(FrameType::kControl, greeting_());
+  link->Send(FrameType::kQuorum, greeting_());
+  if (on_connected_) on_connected_(vm);
 }
 
 void MemberLinks::Close() {
--- a/peers/src/member_links.h
+++ b/peers/src/member_links.h
@@ -18,13 +18,15 @@
 
 class MemberLinks : public std::enable_shared_from_this<MemberLinks> {
  public:
-  /// `greeting` gives the packed MemberHello.
+  /// `greeting` gives the packed MemberHello; `on_connected` runs after it.
   MemberLinks(boost::asio::any_io_executor executor,
-              std::function<std::string()> greeting);
+              std::function<std::string()> greeting,
+              std::function<void(const VmId&)> on_connected);
 
   /// Sets whom to dial; links to others are closed.
   void SetPeers(const std::map<VmId, Address>& peers);
-  void Send(const VmId& vm, std::string message);
+  void Send(const VmId& vm, FrameType type, std::string message);
+  void SendAll(FrameType type, const std::string& message);
   bool Connected(const VmId& vm) const;
   /// Dials what is not connected, and greets at intervals.
   void Tick(Time now);
@@ -45,6 +47,7 @@
 
   boost::asio::any_io_executor executor_;
   std::function<std::string()> greeting_;
+  std::function<void(const VmId&)> on_connected_;
   std::map<VmId, Peer> peers_;
   bool closed_ = false;
 };
--- a/peers/src/control_messages.cc
+++ b/peers/src/quorum_messages.cc
@@ -1,4 +1,4 @@
-#include "cardamomchute/peers/control_messages.h"
+#include "cardamomchute/peers/quorum_messages.h"
 
 namespace cardamomchute {
 
--- /dev/null
+++ b/policy/include/cardamomchute/policy/directory.h
@@ -0,0 +1,107 @@
+/// Who is there: endpoints as they announced themselves, VMs that relay, and
+/// which endpoint leads each group. Records merge in any order.
+#ifndef CARDAMOMCHUTE_POLICY_DIRECTORY_H_
+#define CARDAMOMCHUTE_POLICY_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cardamomchute/base/ids.h"
+#include "cardamomchute/base/pack.h"
+#include "cardamomchute/base/time.h"
+
+namespace cardamomchute {
+
+/// An endpoint as it announced itself last.
+struct EndpointRecord {
+  EndpointId id;
+  GroupId group;
+  Address address;
+  Zone zone;
+  uint32_t slots = 1;
+  bool leaving = false;
+  bool gone = false;
+  bool claims_lead = false;  ///< it sees itself as the primary
+  uint64_t born_ms = 0;      ///< when its run began, by its own wall clock
+  uint64_t sequence = 0;     ///< counts the announcements of one run
+
+  MSGPACK_DEFINE(id, group, address, zone, slots, leaving, gone, claims_lead,
+                 born_ms, sequence)
+};
+
+/// A VM that relays statements.
+struct RelayRecord {
+  VmId vm;
+  Address address;  ///< where other VMs reach it
+  Zone zone;
+  bool draining = false;
+  bool gone = false;
+  uint64_t run_ms = 0;    ///< when its run began, by its own wall clock
+  uint64_t sequence = 0;  ///< counts its reports of one run
+
+  MSGPACK_DEFINE(vm, address, zone, draining, gone, run_ms, sequence)
+};
+
+/// Which endpoint leads a group, as one control leader has found.
+struct LeadRecord {
+  EndpointId endpoint;
+  uint64_t reign = 0;   ///< term of the control leader that says so
+  uint64_t change = 0;  ///< counts the changes within that reign
+  Term term;            ///< the endpoint's own, when it was asked
+
+  MSGPACK_DEFINE(endpoint, reign, change, term)
+};
+
+/// What changed; merging the same one twice changes nothing.
+struct DirectoryDelta {
+  std::vector<EndpointRecord> endpoints;
+  std::vector<RelayRecord> relays;
+  std::map<GroupId, LeadRecord> leads;
+
+  bool Empty() const {
+    return endpoints.empty() && relays.empty() && leads.empty();
+  }
+  MSGPACK_DEFINE(endpoints, relays, leads)
+};
+
+struct Directory {
+  std::map<EndpointId, EndpointRecord> endpoints;
+  std::map<VmId, RelayRecord> relays;
+  std::map<GroupId, LeadRecord> leads;
+  std::map<EndpointId, Time> endpoint_heard;
+  std::map<VmId, Time> relay_heard;
+};
+
+/// A relay that is not heard of for this long is left out.
+inline constexpr Duration kRelaySilence = Seconds(7);
+/// A record that is gone stays this long, to outlive late announcements.
+inline constexpr Duration kGoneKept = Seconds(60);
+
+/// Merges records; returns those that say something new for routing.
+DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
+                     Time now);
+
+/// Marks silent relays as gone and forgets old records; returns the changes.
+DirectoryDelta Expire(Directory& directory, Time now);
+
+/// All of it, for a peer that knows nothing yet.
+DirectoryDelta Whole(const Directory& directory);
+
+/// The endpoints of a group that are not gone.
+std::vector<EndpointRecord> MembersOf(const Directory& directory,
+                                      const GroupId& group);
+
+/// The endpoint that leads; null when it is not known.
+const EndpointRecord* LeadOf(const Directory& directory, const GroupId& group);
+
+/// The VMs that may hold the connections to an endpoint, the best one first:
+/// those of its zone, each endpoint with an order of its own.
+std::vector<RelayRecord> HoldersFor(const Directory& directory,
+                                    const EndpointRecord& endpoint);
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_POLICY_DIRECTORY_H_
--- /dev/null
+++ b/policy/include/cardamomchute/policy/succession.h
@@ -0,0 +1,54 @@
+/// Who follows a primary: pure rules over what the endpoints of a group say.
+///
+/// An endpoint whose replicas all refuse to receive acknowledges nothing more.
+/// Once every other endpoint has been paused, the one that received most holds
+/// every acknowledged commit, whoever can or cannot reach whom.
+#ifndef CARDAMOMCHUTE_POLICY_SUCCESSION_H_
+#define CARDAMOMCHUTE_POLICY_SUCCESSION_H_
+
+#include <optional>
+#include <vector>
+
+#include "cardamomchute/base/ids.h"
+#include "cardamomchute/policy/directory.h"
+
+namespace cardamomchute {
+
+/// What one endpoint answered, if it did.
+struct MemberAnswer {
+  EndpointRecord endpoint;
+  bool answered = false;
+  bool leads = false;
+  Term term;
+  Floor received;
+  Term paused_below;
+};
+
+enum class SuccessionStep : uint8_t {
+  kKeep,     ///< the lead is as it should be
+  kAdopt,    ///< `endpoint` leads already; make that known
+  kPause,    ///< have every endpoint but the lead refuse what is below `term`
+  kPromote,  ///< `endpoint` may take over
+  kWait      ///< some endpoint that may hold commits did not answer
+};
+
+struct SuccessionVerdict {
+  SuccessionStep step = SuccessionStep::kKeep;
+  EndpointId endpoint;
+  Term term;
+};
+
+/// The endpoint that leads the highest term, if any answer says so.
+std::optional<MemberAnswer> LeaderAmong(const std::vector<MemberAnswer>& all);
+
+/// The term that pauses must be above.
+Term NewestTerm(const std::vector<MemberAnswer>& all);
+
+/// The next step once the lead is to be replaced, whatever it says itself.
+/// `all` are the answers of every endpoint of the group, `lead` included.
+SuccessionVerdict NextStep(const std::vector<MemberAnswer>& all,
+                           const EndpointId& lead);
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_POLICY_SUCCESSION_H_
--- /dev/null
+++ b/policy/src/directory.cc
@@ -0,0 +1,188 @@
+#include "cardamomchute/policy/directory.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cardamomchute {
+namespace {
+
+bool Newer(const EndpointRecord& a, const EndpointRecord& b) {
+  return std::tie(a.born_ms, a.sequence) > std::tie(b.born_ms, b.sequence);
+}
+
+bool Newer(const RelayRecord& a, const RelayRecord& b) {
+  return std::tie(a.run_ms, a.sequence) > std::tie(b.run_ms, b.sequence);
+}
+
+bool SameForRouting(const EndpointRecord& a, const EndpointRecord& b) {
+  return a.group == b.group && a.address == b.address && a.zone == b.zone &&
+         a.slots == b.slots && a.leaving == b.leaving && a.gone == b.gone &&
+         a.claims_lead == b.claims_lead && a.born_ms == b.born_ms;
+}
+
+bool SameForRouting(const RelayRecord& a, const RelayRecord& b) {
+  return a.address == b.address && a.zone == b.zone &&
+         a.draining == b.draining && a.gone == b.gone && a.run_ms == b.run_ms;
+}
+
+/// Whoever had this address before is gone: addresses are used again.
+void RetireAddress(Directory& directory, const EndpointRecord& now_there,
+                   DirectoryDelta* changed) {
+  for (auto& [id, record] : directory.endpoints) {
+    bool replaced = id != now_there.id && !record.gone &&
+                    record.address == now_there.address &&
+                    record.born_ms < now_there.born_ms;
+    if (!replaced) continue;
+    record.gone = true;
+    changed->endpoints.push_back(record);
+  }
+}
+
+bool AddressTaken(const Directory& directory, const EndpointRecord& record) {
+  return std::any_of(directory.endpoints.begin(), directory.endpoints.end(),
+                     [&record](const auto& item) {
+                       const EndpointRecord& other = item.second;
+                       return other.id != record.id &&
+                              other.address == record.address &&
+                              other.born_ms > record.born_ms;
+                     });
+}
+
+/// FNV-1a with a final mix: the same on every VM.
+uint64_t Weight(const std::string& endpoint, const std::string& vm) {
+  uint64_t hash = 1469598103934665603ULL;
+  for (const std::string* part : {&endpoint, &vm}) {
+    for (unsigned char c : *part) hash = (hash ^ c) * 1099511628211ULL;
+    hash = (hash ^ '/') * 1099511628211ULL;
+  }
+  hash ^= hash >> 33;
+  hash *= 0xff51afd7ed558ccdULL;
+  return hash ^ (hash >> 33);
+}
+
+}  // namespace
+
+DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
+                     Time now) {
+  DirectoryDelta changed;
+  for (EndpointRecord record : delta.endpoints) {
+    auto known = directory.endpoints.find(record.id);
+    bool late =
+        known != directory.endpoints.end() && !Newer(record, known->second);
+    if (late) {
+      bool retired = record.gone && !known->second.gone &&
+                     record.born_ms == known->second.born_ms;
+      if (!retired) continue;
+      known->second.gone = true;
+      changed.endpoints.push_back(known->second);
+      continue;
+    }
+    if (AddressTaken(directory, record)) record.gone = true;
+    // What left stays away until it is born again.
+    if (known != directory.endpoints.end() && known->second.gone &&
+        known->second.born_ms == record.born_ms) {
+      record.gone = true;
+    }
+    bool news = known == directory.endpoints.end() ||
+                !SameForRouting(known->second, record);
+    directory.endpoints[record.id] = record;
+    directory.endpoint_heard[record.id] = now;
+    if (news) changed.endpoints.push_back(record);
+    if (!record.gone) RetireAddress(directory, record, &changed);
+  }
+  for (const RelayRecord& record : delta.relays) {
+    auto known = directory.relays.find(record.vm);
+    bool late =
+        known != directory.relays.end() && !Newer(record, known->second);
+    if (late) continue;
+    bool news = known == directory.relays.end() ||
+                !SameForRouting(known->second, record);
+    directory.relays[record.vm] = record;
+    directory.relay_heard[record.vm] = now;
+    if (news) changed.relays.push_back(record);
+  }
+  for (const auto& [group, lead] : delta.leads) {
+    LeadRecord& known = directory.leads[group];
+    bool newer = std::tie(lead.reign, lead.change) >
+                 std::tie(known.reign, known.change);
+    if (!newer) continue;
+    known = lead;
+    changed.leads[group] = lead;
+  }
+  return changed;
+}
+
+DirectoryDelta Expire(Directory& directory, Time now) {
+  DirectoryDelta changed;
+  for (auto it = directory.relays.begin(); it != directory.relays.end();) {
+    Duration silent = now - directory.relay_heard[it->first];
+    if (silent > kGoneKept) {
+      directory.relay_heard.erase(it->first);
+      it = directory.relays.erase(it);
+      continue;
+    }
+    if (silent > kRelaySilence && !it->second.gone) {
+      it->second.gone = true;
+      changed.relays.push_back(it->second);
+    }
+    ++it;
+  }
+  for (auto it = directory.endpoints.begin();
+       it != directory.endpoints.end();) {
+    Duration silent = now - directory.endpoint_heard[it->first];
+    if (it->second.gone && silent > kGoneKept) {
+      directory.endpoint_heard.erase(it->first);
+      it = directory.endpoints.erase(it);
+      continue;
+    }
+    ++it;
+  }
+  return changed;
+}
+
+DirectoryDelta Whole(const Directory& directory) {
+  DirectoryDelta whole;
+  for (const auto& [id, record] : directory.endpoints)
+    whole.endpoints.push_back(record);
+  for (const auto& [vm, record] : directory.relays)
+    whole.relays.push_back(record);
+  whole.leads = directory.leads;
+  return whole;
+}
+
+std::vector<EndpointRecord> MembersOf(const Directory& directory,
+                                      const GroupId& group) {
+  std::vector<EndpointRecord> members;
+  for (const auto& [id, record] : directory.endpoints) {
+    if (record.group == group && !record.gone) members.push_back(record);
+  }
+  return members;
+}
+
+const EndpointRecord* LeadOf(const Directory& directory, const GroupId& group) {
+  auto lead = directory.leads.find(group);
+  if (lead == directory.leads.end()) return nullptr;
+  auto endpoint = directory.endpoints.find(lead->second.endpoint);
+  if (endpoint == directory.endpoints.end()) return nullptr;
+  return endpoint->second.gone ? nullptr : &endpoint->second;
+}
+
+std::vector<RelayRecord> HoldersFor(const Directory& directory,
+                                    const EndpointRecord& endpoint) {
+  std::vector<RelayRecord> holders;
+  for (const auto& [vm, record] : directory.relays) {
+    if (!record.gone && !record.draining) holders.push_back(record);
+  }
+  // By address, so that a member's successor finds warm connections' VM.
+  std::string key = ToString(endpoint.address);
+  std::sort(holders.begin(), holders.end(),
+            [&](const RelayRecord& a, const RelayRecord& b) {
+              bool near_a = a.zone == endpoint.zone;
+              bool near_b = b.zone == endpoint.zone;
+              if (near_a != near_b) return near_a;
+              return Weight(key, a.vm.value()) > Weight(key, b.vm.value());
+            });
+  return holders;
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/relay/include/cardamomchute/relay/protocol.h
@@ -0,0 +1,98 @@
+/// The seam to the protocols that callers and endpoints speak: plain structs
+/// of functions that turn bytes into the product's types and back.
+#ifndef CARDAMOMCHUTE_RELAY_PROTOCOL_H_
+#define CARDAMOMCHUTE_RELAY_PROTOCOL_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cardamomchute/base/error.h"
+#include "cardamomchute/relay/statement.h"
+
+namespace cardamomchute {
+
+/// A message and the bytes it took; no message: more bytes are needed.
+template <typename Message>
+struct Decoded {
+  std::optional<Message> message;
+  size_t used = 0;
+};
+
+/// What the product asks of an endpoint.
+enum class CommandKind : uint8_t {
+  kRun,  ///< a caller's statement, with its id and text
+  kBegin,
+  kBeginReadOnly,
+  kRollback,
+  kSet,
+  kPrepare,
+  kReset,
+  kStatus,
+  kPause,   ///< receive nothing more below `term`
+  kResume,  ///< end of kPause
+  kDemote   ///< follow the primary of `term`
+};
+
+struct EndpointCommand {
+  CommandKind kind = CommandKind::kRun;
+  std::string id;    ///< kRun
+  std::string text;  ///< kRun
+  /// kRun, kBeginReadOnly: refuse if the endpoint's log lacks this.
+  std::optional<Floor> at_least;
+  std::string name;   ///< kSet, kPrepare
+  std::string value;  ///< kSet: the value; kPrepare: the shape
+  bool prepares_write = false;
+  Term term;  ///< kPause, kDemote
+};
+
+/// What an endpoint tells of itself.
+struct EndpointStatus {
+  bool leads = false;
+  Term term;
+  Floor received;
+  Term paused_below;  ///< 0: not paused
+  uint64_t lag_ms = 0;
+};
+
+struct EndpointRow {
+  std::string row;
+};
+struct EndpointDone {
+  std::string signature;
+};
+struct EndpointError {
+  Outcome outcome = Outcome::kUnknown;
+  std::string detail;
+};
+/// Ends the answer to one command.
+struct EndpointReady {
+  TransactionState state = TransactionState::kNone;
+  std::optional<Floor> at;
+};
+
+using EndpointMessage =
+    std::variant<EndpointRow, EndpointDone, EndpointError, EndpointReady>;
+
+struct CallerProtocol {
+  std::function<Result<Decoded<CallerMessage>>(std::string_view)> decode;
+  /// The greeting's answer, and the end of each answer.
+  std::function<void(TransactionState, const std::optional<Floor>&,
+                     std::string*)>
+      encode_ready;
+  /// Rows and end of a statement, without the ready message.
+  std::function<void(const StatementResult&, std::string*)> encode_result;
+};
+
+struct EndpointProtocol {
+  std::function<void(const GroupId&, const EndpointId&, std::string*)>
+      encode_hello;
+  std::function<void(const EndpointCommand&, std::string*)> encode;
+  std::function<Result<Decoded<EndpointMessage>>(std::string_view)> decode;
+  std::function<Result<EndpointStatus>(const std::string& row)> decode_status;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_RELAY_PROTOCOL_H_
--- /dev/null
+++ b/relay/include/cardamomchute/relay/relay_mesh.h
@@ -0,0 +1,95 @@
+/// Links between relays: requests go to the VM that holds an endpoint's
+/// connections, answers come back. Lives on the traffic thread.
+#ifndef CARDAMOMCHUTE_RELAY_RELAY_MESH_H_
+#define CARDAMOMCHUTE_RELAY_RELAY_MESH_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cardamomchute/base/error.h"
+#include "cardamomchute/peers/link.h"
+#include "cardamomchute/relay/run.h"
+
+namespace cardamomchute {
+
+struct MeshHandlers {
+  std::function<void(const VmId& from, RunRequest, RunDone)> on_run;
+  std::function<void(const VmId& from, const AbandonRun&)> on_abandon;
+  std::function<void(const FloorQuestion&, std::function<void(FloorAnswer)>)>
+      on_floor;
+  /// No link from that VM is left.
+  std::function<void(const VmId& from)> on_gone;
+};
+
+class RelayMesh : public std::enable_shared_from_this<RelayMesh> {
+ public:
+  RelayMesh(boost::asio::io_context* io, VmId self, MeshHandlers handlers);
+
+  Status Listen(const Address& address);
+  /// `wrote`: the statement's transaction may hold writes.
+  void Run(const Address& to, RunRequest request, bool wrote, RunDone done);
+  void Abandon(const Address& to, const AbandonRun& abandon);
+  void AskFloor(const Address& to, FloorQuestion question,
+                std::function<void(std::optional<FloorAnswer>)> done);
+  /// Whether an earlier failure speaks against using that VM now.
+  bool Avoided(const Address& to) const;
+  void Close();
+
+ private:
+  using LinkPtr = std::shared_ptr<Link>;
+  struct Outstanding {
+    RunRequest request;  ///< without text and values
+    bool wrote = false;
+    bool sent = false;
+    RunDone done;
+  };
+  struct Question {
+    std::function<void(std::optional<FloorAnswer>)> done;
+  };
+  struct Peer {
+    LinkPtr link;
+    bool dialling = false;
+    std::vector<std::string> queued;
+    std::map<uint64_t, Outstanding> outstanding;
+    std::map<uint64_t, Question> questions;
+    Time avoid_until;
+    Time waiting_since;
+    Time pinged;
+  };
+
+  void Accept();
+  void TakeConnection(boost::asio::ip::tcp::socket socket);
+  void OnInbound(const LinkPtr& link, std::string_view body);
+  void OnOutbound(const Address& from, std::string_view body);
+  void SendTo(const Address& to, Peer* peer, std::string message);
+  void Dial(const Address& to, Peer* peer);
+  void OnDialled(const Address& to, LinkPtr link);
+  void LosePeer(const Address& to, const std::string& reason);
+  void ScheduleWatch();
+  void Watch();
+
+  boost::asio::io_context* io_;
+  VmId self_;
+  MeshHandlers handlers_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
+  bool watching_ = false;
+  bool closed_ = false;
+  uint64_t next_number_ = 0;
+  std::map<Address, Peer> peers_;
+  struct Inbound {
+    LinkPtr link;
+    VmId vm;
+  };
+  std::map<Link*, Inbound> inbound_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_RELAY_RELAY_MESH_H_
--- /dev/null
+++ b/relay/src/endpoint_pool.cc
@@ -0,0 +1,658 @@
+#include "cardamomchute/relay/endpoint_pool.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "cardamomchute/base/log.h"
+#include "pool_timing.h"
+
+namespace cardamomchute {
+namespace {
+
+bool InTransaction(RunStep step) {
+  return step == RunStep::kNext || step == RunStep::kCommit;
+}
+
+}  // namespace
+
+std::string_view ToString(Trouble trouble) {
+  switch (trouble) {
+    case Trouble::kRefused:
+      return "refused";
+    case Trouble::kSilent:
+      return "silent";
+    case Trouble::kStalled:
+      return "stalled";
+    case Trouble::kNotLeader:
+      return "not_leader";
+  }
+  return "silent";
+}
+
+EndpointPool::EndpointPool(PoolParts parts)
+    : parts_(std::move(parts)),
+      timer_(parts_.executor),
+      connect_pause_(kConnectPauseMin) {
+  std::vector<RankSpec> ranks(kRanks);
+  for (RankSpec& rank : ranks) rank.queue_limit = kQueueLimit;
+  for (size_t i = 1; i < kRanks; ++i)
+    ranks[i].guaranteed_share = kGuaranteedShare;
+  queue_.SetRanks(std::move(ranks));
+  last_read_ = last_write_done_ = last_used_ = Now();
+}
+
+void EndpointPool::SetBounds(const PoolBounds& bounds) {
+  bool lost_lead = bounds_.leads && !bounds.leads;
+  if (bounds_.leads != bounds.leads) proof_.reset();
+  bounds_ = bounds;
+  queue_.SetCapacity(Lane::kPrimary, bounds_.slots);
+  if (!lost_lead) return;
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    const RunRequest& request = it->second->request;
+    bool needs_lead = request.at_leader || request.writes;
+    if (!needs_lead || InTransaction(request.step)) {
+      ++it;
+      continue;
+    }
+    queue_.Remove(it->first);
+    std::unique_ptr<Job> job = std::move(it->second);
+    it = jobs_.erase(it);
+    Refuse(std::move(job), Outcome::kReadOnly, "another endpoint leads now");
+  }
+}
+
+void EndpointPool::Warm() {
+  last_used_ = Now();
+  while (held_.size() < bounds_.slots + kWarmSpare &&
+         held_.size() < bounds_.connections && Now() >= next_connect_) {
+    Connect();
+  }
+}
+
+// ---- statements that wait --------------------------------------------------
+
+void EndpointPool::Submit(RunRequest request, const SessionKey& key,
+                          RunDone done) {
+  Time now = Now();
+  last_used_ = now;
+  std::unique_ptr<Job> job = std::make_unique<Job>();
+  job->hold_until = now + request.hold;
+  job->deadline = now + request.timeout;
+  job->request = std::move(request);
+  job->key = key;
+  job->done = std::move(done);
+  if (closed_)
+    return Refuse(std::move(job), Outcome::kUnreachable, "pool closed");
+  bool needs_floor = !InTransaction(job->request.step);
+  if (needs_floor && !PlanFloor(job.get(), now))
+    return ParkForFloor(std::move(job));
+  Enqueue(std::move(job));
+  Dispatch();
+}
+
+/// Decides how the statement is kept fresh enough; false: a position of the
+/// leader must be asked for first.
+bool EndpointPool::PlanFloor(Job* job, Time now) {
+  const RunRequest& request = job->request;
+  if (request.writes && request.step == RunStep::kSingle) return true;
+  bool leader_only = request.at_leader || request.writes;
+  if (leader_only) {
+    job->fenced = true;
+    return true;
+  }
+  std::optional<Floor> floor = history_.FirstSince(
+      now - request.max_staleness + kStalenessMargin);
+  if (!floor) {
+    job->fenced = bounds_.leads;
+    return bounds_.leads;
+  }
+  job->at_least = std::max(*floor, request.floor);
+  std::optional<PositionSample> latest = history_.Latest();
+  bool old = !latest || now - latest->asked > kFloorRefresh;
+  if (old && !bounds_.leads) AskFloor();
+  return true;
+}
+
+void EndpointPool::ParkForFloor(std::unique_ptr<Job> job) {
+  parked_.push_back(std::move(job));
+  AskFloor();
+  ScheduleTick();
+}
+
+void EndpointPool::AskFloor() {
+  if (asking_floor_) return;
+  asking_floor_ = true;
+  Time asked = Now();
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  parts_.ask_floor([weak, asked](std::optional<FloorAnswer> answer) {
+    std::shared_ptr<EndpointPool> self = weak.lock();
+    if (!self) return;
+    self->asking_floor_ = false;
+    if (answer && answer->at)
+      self->history_.Add({asked - answer->age, *answer->at});
+    Time now = Now();
+    std::vector<std::unique_ptr<Job>> parked =
+        std::exchange(self->parked_, {});
+    for (std::unique_ptr<Job>& job : parked) {
+      if (self->PlanFloor(job.get(), now)) {
+        self->Enqueue(std::move(job));
+      } else {
+        self->Refuse(std::move(job), Outcome::kLagging,
+                     "no position of the leader is known");
+      }
+    }
+    self->Dispatch();
+  });
+}
+
+void EndpointPool::Enqueue(std::unique_ptr<Job> job) {
+  uint64_t id = ++next_job_;
+  QueueItem item;
+  item.id = id;
+  item.rank = job->request.rank;
+  item.session =
+      job->key.relay.value() + "/" + std::to_string(job->key.session);
+  item.arrived = Now();
+  item.deadline = job->deadline;
+  Admission admission = queue_.Add(item, item.arrived);
+  if (admission != Admission::kAdmitted) {
+    bool full = admission == Admission::kQueueFull;
+    return Refuse(std::move(job), Outcome::kBusy,
+                  full ? "queue full" : "queue longer than the time left");
+  }
+  jobs_[id] = std::move(job);
+  ScheduleTick();
+}
+
+EndpointPool::HeldPtr EndpointPool::FindPinned(const SessionKey& key,
+                                               uint64_t run) {
+  for (const HeldPtr& held : held_) {
+    if (held->pinned == key && held->run == run) return held;
+  }
+  return nullptr;
+}
+
+/// An idle connection, best one that already has the session's values.
+EndpointPool::HeldPtr EndpointPool::FindIdle(const Job& job) {
+  HeldPtr clean;
+  HeldPtr any;
+  for (const HeldPtr& held : held_) {
+    if (!held->ready || held->busy || held->pinned) continue;
+    const RunRequest& request = job.request;
+    if (held->values == request.values) {
+      bool has = !request.prepared ||
+                 held->prepared.contains(request.prepared->shared_name);
+      if (has) return held;
+      clean = held;
+    } else if (held->values.empty() && !clean) {
+      clean = held;
+    } else if (!any) {
+      any = held;
+    }
+  }
+  return clean ? clean : any;
+}
+
+bool EndpointPool::AnyPinned() const {
+  return std::any_of(held_.begin(), held_.end(),
+                     [](const HeldPtr& held) { return held->pinned; });
+}
+
+bool EndpointPool::CanRun(const Job& job) {
+  if (!InTransaction(job.request.step)) return FindIdle(job) != nullptr;
+  HeldPtr held = FindPinned(job.key, job.request.run);
+  return !held || !held->busy;
+}
+
+void EndpointPool::Dispatch() {
+  while (!closed_ && running_ < bounds_.slots && queue_.size() > 0) {
+    std::optional<QueueItem> item =
+        queue_.Next(Now(), {true, false}, [this](const QueueItem& candidate) {
+          return CanRun(*jobs_.at(candidate.id));
+        });
+    if (!item) break;
+    auto it = jobs_.find(item->id);
+    std::unique_ptr<Job> job = std::move(it->second);
+    jobs_.erase(it);
+    HeldPtr held = InTransaction(job->request.step)
+                       ? FindPinned(job->key, job->request.run)
+                       : FindIdle(*job);
+    if (!held) {
+      Refuse(std::move(job), Outcome::kAborted,
+             "the transaction's connection was lost");
+      continue;
+    }
+    Start(held, std::move(job));
+  }
+  if (!closed_ && queue_.size() > 0 && running_ < bounds_.slots) Grow();
+}
+
+void EndpointPool::Refuse(std::unique_ptr<Job> job, Outcome outcome,
+                          const std::string& detail) {
+  RunAnswer answer;
+  answer.outcome = outcome;
+  answer.detail = detail;
+  Finish(std::move(job), std::move(answer));
+}
+
+void EndpointPool::Finish(std::unique_ptr<Job> job, RunAnswer answer) {
+  answer.number = job->request.number;
+  answer.waiting = jobs_.size() + running_;
+  job->done(std::move(answer));
+}
+
+void EndpointPool::Abandon(const SessionKey& key, uint64_t run) {
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    bool same = it->second->key == key && it->second->request.run == run;
+    if (same) queue_.Remove(it->first);
+    it = same ? jobs_.erase(it) : std::next(it);
+  }
+  HeldPtr held = FindPinned(key, run);
+  if (!held) return;
+  if (held->busy) {
+    held->abandoned = true;
+    return;
+  }
+  Release(held);
+}
+
+void EndpointPool::AbandonAll(const VmId& relay) {
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    if (it->second->key.relay != relay) {
+      ++it;
+      continue;
+    }
+    queue_.Remove(it->first);
+    it = jobs_.erase(it);
+  }
+  std::erase_if(parked_, [&relay](const std::unique_ptr<Job>& job) {
+    return job->key.relay == relay;
+  });
+  std::vector<HeldPtr> all = held_;
+  for (const HeldPtr& held : all) {
+    if (held->pinned && held->pinned->relay == relay)
+      Abandon(*held->pinned, held->run);
+  }
+}
+
+// ---- connections -----------------------------------------------------------
+
+void EndpointPool::Grow() {
+  size_t spare = connecting_;
+  size_t wanted = std::min<size_t>(queue_.size(), bounds_.slots);
+  while (spare < wanted && held_.size() < bounds_.connections &&
+         Now() >= next_connect_) {
+    Connect();
+    ++spare;
+  }
+}
+
+void EndpointPool::Connect() {
+  HeldPtr held = std::make_shared<Held>();
+  held->link =
+      std::make_shared<CommandConnection>(parts_.executor, parts_.protocol);
+  held_.push_back(held);
+  ++connecting_;
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  held->link->Open(parts_.address, parts_.group, parts_.endpoint,
+                   kConnectTimeout, [weak, held](Outcome outcome) {
+                     std::shared_ptr<EndpointPool> self = weak.lock();
+                     if (self) self->OnConnected(held, outcome);
+                   });
+}
+
+void EndpointPool::OnConnected(const HeldPtr& held, Outcome outcome) {
+  --connecting_;
+  Time now = Now();
+  if (closed_) return;
+  if (outcome == Outcome::kDone) {
+    connect_pause_ = kConnectPauseMin;
+    last_read_ = now;
+    held->ready = true;
+    std::weak_ptr<EndpointPool> weak = weak_from_this();
+    std::weak_ptr<Held> weak_held = held;
+    held->link->OnLost([weak, weak_held] {
+      std::shared_ptr<EndpointPool> self = weak.lock();
+      HeldPtr lost = weak_held.lock();
+      if (self && lost) self->OnLost(lost);
+    });
+    return Dispatch();
+  }
+  Drop(held);
+  next_connect_ = now + connect_pause_;
+  connect_pause_ = std::min(connect_pause_ * 2, kConnectPauseMax);
+  LogLine(LogLevel::kInfo, "endpoint_connect_failed")
+      .Field("endpoint", parts_.endpoint)
+      .Field("address", ToString(parts_.address))
+      .Field("outcome", ToString(outcome))
+      .Field("waiting", jobs_.size());
+  if (outcome == Outcome::kUnreachable) Report(Trouble::kRefused, now);
+  if (outcome == Outcome::kTimeout) Report(Trouble::kSilent, now);
+  bool none_left = std::none_of(held_.begin(), held_.end(),
+                                [](const HeldPtr& h) { return h->ready; });
+  if (outcome == Outcome::kMisrouted || (none_left && connecting_ == 0)) {
+    FailWaiting(outcome == Outcome::kMisrouted ? outcome
+                                               : Outcome::kUnreachable,
+                "cannot connect to the endpoint");
+  }
+}
+
+void EndpointPool::FailWaiting(Outcome outcome, const std::string& detail) {
+  std::map<uint64_t, std::unique_ptr<Job>> jobs = std::exchange(jobs_, {});
+  queue_.TakeAll();
+  for (auto& [id, job] : jobs) {
+    bool lost = InTransaction(job->request.step);
+    Refuse(std::move(job), lost ? Outcome::kAborted : outcome, detail);
+  }
+}
+
+void EndpointPool::Drop(const HeldPtr& held) {
+  held->link->Close();
+  std::erase(held_, held);
+}
+
+void EndpointPool::OnLost(const HeldPtr& held) {
+  std::unique_ptr<Job> job = std::move(held->job);
+  LogLine(LogLevel::kInfo, "endpoint_connection_lost")
+      .Field("endpoint", parts_.endpoint)
+      .Field("request", job ? job->request.id : "-")
+      .Field("sent", held->sent);
+  std::optional<Outcome> outcome;
+  if (job) {
+    outcome = WithoutAnswer(job->request, held->sent, held->wrote,
+                            Outcome::kUnknown);
+    --running_;
+  }
+  Drop(held);
+  if (job) Refuse(std::move(job), *outcome, "connection to endpoint lost");
+  Time now = Now();
+  VerifyIdle(now);
+  Dispatch();
+}
+
+void EndpointPool::Close() {
+  if (closed_) return;
+  closed_ = true;
+  timer_.cancel();
+  FailWaiting(Outcome::kUnreachable, "pool closed");
+  std::vector<std::unique_ptr<Job>> parked = std::exchange(parked_, {});
+  for (std::unique_ptr<Job>& job : parked)
+    Refuse(std::move(job), Outcome::kUnreachable, "pool closed");
+  std::vector<HeldPtr> all = std::exchange(held_, {});
+  for (const HeldPtr& held : all) {
+    if (held->job) {
+      Outcome outcome = WithoutAnswer(held->job->request, held->sent,
+                                       held->wrote, Outcome::kUnknown);
+      Refuse(std::move(held->job), outcome, "pool closed");
+    }
+    held->link->Close();
+  }
+  running_ = 0;
+  ServeFloorWaiters(Now(), true);
+}
+
+// ---- statements under way --------------------------------------------------
+
+void EndpointPool::Start(const HeldPtr& held, std::unique_ptr<Job> job) {
+  ++running_;
+  held->busy = true;
+  held->sent = false;
+  held->sent_at = Now();
+  held->job = std::move(job);
+  std::vector<EndpointCommand> setup = Setup(held);
+  if (setup.empty()) return SendStatement(held);
+  SendSetup(held, std::move(setup));
+}
+
+/// What brings the connection to the session's values, has the prepared
+/// statement known, and opens the transaction.
+std::vector<EndpointCommand> EndpointPool::Setup(const HeldPtr& held) {
+  const Job& job = *held->job;
+  const RunRequest& request = job.request;
+  std::vector<EndpointCommand> commands;
+  bool foreign = std::any_of(
+      held->values.begin(), held->values.end(), [&request](const auto& value) {
+        return !request.values.contains(value.first);
+      });
+  if (foreign) {
+    commands.push_back({.kind = CommandKind::kReset});
+    held->values.clear();
+    held->prepared.clear();
+  }
+  for (const auto& [name, value] : request.values) {
+    auto known = held->values.find(name);
+    if (known != held->values.end() && known->second == value) continue;
+    commands.push_back(
+        {.kind = CommandKind::kSet, .name = name, .value = value});
+    held->values[name] = value;
+  }
+  if (request.prepared &&
+      held->prepared.insert(request.prepared->shared_name).second) {
+    commands.push_back({.kind = CommandKind::kPrepare,
+                        .name = request.prepared->shared_name,
+                        .value = request.prepared->shape,
+                        .prepares_write = request.prepared->writes});
+  }
+  bool opens = request.step == RunStep::kFirst;
+  if (!opens && !(job.fenced && request.step == RunStep::kSingle))
+    return commands;
+  bool plain = job.fenced || !request.read_only;
+  commands.push_back(
+      plain ? EndpointCommand{.kind = CommandKind::kBegin}
+            : EndpointCommand{.kind = CommandKind::kBeginReadOnly,
+                              .at_least = job.at_least});
+  return commands;
+}
+
+/// The statement follows only once all of the setup has succeeded: after a
+/// refused BEGIN it would run outside of its transaction.
+void EndpointPool::SendSetup(const HeldPtr& held,
+                             std::vector<EndpointCommand> commands) {
+  std::shared_ptr<std::vector<EndpointCommand>> left =
+      std::make_shared<std::vector<EndpointCommand>>(commands);
+  std::shared_ptr<bool> failed = std::make_shared<bool>(false);
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  std::weak_ptr<Held> weak_held = held;
+  held->link->Send(commands, [weak, weak_held, left,
+                              failed](const CommandAnswer& answer) {
+    std::shared_ptr<EndpointPool> self = weak.lock();
+    HeldPtr on = weak_held.lock();
+    if (!self || !on || *failed) return;
+    self->last_read_ = Now();
+    CommandKind kind = left->front().kind;
+    left->erase(left->begin());
+    bool begin =
+        kind == CommandKind::kBegin || kind == CommandKind::kBeginReadOnly;
+    if (answer.outcome != Outcome::kDone) {
+      *failed = true;
+      std::unique_ptr<Job> job = std::move(on->job);
+      --self->running_;
+      if (answer.outcome == Outcome::kReadOnly && self->bounds_.leads)
+        self->Report(Trouble::kNotLeader, Now());
+      if (begin) {
+        self->EndRun(on, answer.state);
+      } else {
+        self->Drop(on);
+      }
+      Outcome outcome =
+          job->request.step == RunStep::kNext ? Outcome::kAborted
+          : NotRun(answer.outcome)            ? answer.outcome
+                                              : Outcome::kUnreachable;
+      self->Refuse(std::move(job), outcome, answer.detail);
+      return self->Dispatch();
+    }
+    if (begin) {
+      if (kind == CommandKind::kBegin) self->NoteProof(on, answer);
+      if (on->job->request.step == RunStep::kFirst) {
+        on->pinned = on->job->key;
+        on->run = on->job->request.run;
+        on->wrote = false;
+      }
+    }
+    if (left->empty()) self->SendStatement(on);
+  });
+}
+
+void EndpointPool::SendStatement(const HeldPtr& held) {
+  const Job& job = *held->job;
+  const RunRequest& request = job.request;
+  bool single = request.step == RunStep::kSingle;
+  EndpointCommand run;
+  run.kind = CommandKind::kRun;
+  run.id = request.id;
+  run.text = request.text;
+  if (single && !job.fenced) run.at_least = job.at_least;
+  std::vector<EndpointCommand> commands = {run};
+  if (single && job.fenced)
+    commands.push_back({.kind = CommandKind::kRollback});
+  held->sent = true;
+  held->sent_at = Now();
+  if (request.writes) held->wrote = true;
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  std::weak_ptr<Held> weak_held = held;
+  held->link->Send(commands, [weak, weak_held](const CommandAnswer& answer) {
+    std::shared_ptr<EndpointPool> self = weak.lock();
+    HeldPtr on = weak_held.lock();
+    if (!self || !on) return;
+    self->last_read_ = Now();
+    if (on->job) return self->OnStatementAnswer(on, answer);
+    // The end of a fenced statement's own transaction.
+    self->EndRun(on, answer.state);
+    self->Dispatch();
+  });
+}
+
+void EndpointPool::OnStatementAnswer(const HeldPtr& held,
+                                     const CommandAnswer& answer) {
+  std::unique_ptr<Job> job = std::move(held->job);
+  --running_;
+  const RunRequest& request = job->request;
+  Time now = Now();
+  queue_.Served(request.rank, Lane::kPrimary, now - held->sent_at);
+  bool done = answer.outcome == Outcome::kDone;
+  bool commit = request.step == RunStep::kCommit;
+  bool plain_run = job->fenced || (held->pinned && held->wrote);
+  if (done && ((request.writes && !commit) || (plain_run && !commit)))
+    NoteProof(held, answer);
+  if (request.writes || (commit && held->wrote)) last_write_done_ = now;
+  if (answer.outcome == Outcome::kReadOnly && bounds_.leads)
+    Report(Trouble::kNotLeader, now);
+
+  RunAnswer out;
+  out.outcome = answer.outcome;
+  out.rows = answer.rows;
+  out.signature = answer.signature;
+  out.detail = answer.detail;
+  out.at = answer.at;
+  bool keeps = held->pinned && !commit && done && !held->abandoned &&
+               answer.state == TransactionState::kOpen;
+  out.transaction = keeps;
+  bool fenced_single = job->fenced && request.step == RunStep::kSingle;
+  if (keeps) {
+    held->busy = false;
+  } else if (!fenced_single) {
+    EndRun(held, answer.state);
+  }
+  Finish(std::move(job), std::move(out));
+  Dispatch();
+}
+
+/// A success in a plain transaction shows that the endpoint led when it was
+/// asked; its position then held all that was acknowledged before.
+void EndpointPool::NoteProof(const HeldPtr& held, const CommandAnswer& answer) {
+  if (!bounds_.leads || !answer.at) return;
+  proof_ = PositionSample{held->sent_at, *answer.at};
+  history_.Add(*proof_);
+  ServeFloorWaiters(Now(), false);
+}
+
+/// The connection is free again, once the endpoint has no transaction on it.
+void EndpointPool::EndRun(const HeldPtr& held, TransactionState state) {
+  held->pinned.reset();
+  held->abandoned = false;
+  held->wrote = false;
+  held->busy = false;
+  if (state != TransactionState::kNone) Release(held);
+}
+
+/// Rolls back whatever is open on the connection.
+void EndpointPool::Release(const HeldPtr& held) {
+  held->pinned.reset();
+  held->busy = true;
+  held->verify_until = Now() + kVerifyTimeout;
+  ScheduleTick();
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  std::weak_ptr<Held> weak_held = held;
+  held->link->Send(
+      {{.kind = CommandKind::kRollback}},
+      [weak, weak_held](const CommandAnswer& answer) {
+        std::shared_ptr<EndpointPool> self = weak.lock();
+        HeldPtr on = weak_held.lock();
+        if (!self || !on) return;
+        self->last_read_ = Now();
+        on->verify_until.reset();
+        on->busy = false;
+        on->abandoned = false;
+        on->wrote = false;
+        if (answer.state != TransactionState::kNone) self->Drop(on);
+        self->Dispatch();
+      });
+}
+
+// ---- floors ----------------------------------------------------------------
+
+void EndpointPool::AnswerFloor(std::function<void(FloorAnswer)> done) {
+  Time now = Now();
+  last_used_ = now;
+  floor_waiters_.push_back({now, std::move(done)});
+  bool fresh = proof_ && now - proof_->asked < kProofFresh;
+  if (fresh) return ServeFloorWaiters(now, true);
+  ScheduleTick();
+  if (probing_ || !bounds_.leads) return;
+  RunRequest nothing;
+  Job any;
+  HeldPtr held = FindIdle(any);
+  if (!held) return Warm();
+  probing_ = true;
+  held->busy = true;
+  held->sent_at = now;
+  held->verify_until = now + kVerifyTimeout;
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  std::weak_ptr<Held> weak_held = held;
+  held->link->Send({{.kind = CommandKind::kBegin}},
+                   [weak, weak_held](const CommandAnswer& answer) {
+                     std::shared_ptr<EndpointPool> self = weak.lock();
+                     HeldPtr on = weak_held.lock();
+                     if (!self || !on) return;
+                     self->probing_ = false;
+                     self->last_read_ = Now();
+                     on->verify_until.reset();
+                     if (answer.outcome == Outcome::kDone)
+                       self->NoteProof(on, answer);
+                     if (answer.outcome == Outcome::kReadOnly)
+                       self->Report(Trouble::kNotLeader, Now());
+                     self->EndRun(on, answer.state);
+                     self->Dispatch();
+                   });
+}
+
+void EndpointPool::ServeFloorWaiters(Time now, bool give_up) {
+  std::vector<FloorWaiter> waiters = std::exchange(floor_waiters_, {});
+  for (FloorWaiter& waiter : waiters) {
+    bool fresh = proof_ && waiter.asked - proof_->asked < kProofFresh;
+    bool late = now - waiter.asked > kFloorAnswerTimeout;
+    if (!fresh && !give_up && !late) {
+      floor_waiters_.push_back(std::move(waiter));
+      continue;
+    }
+    FloorAnswer answer;
+    if (proof_) {
+      answer.at = proof_->at;
+      answer.age = std::max(waiter.asked - proof_->asked, Duration());
+    }
+    waiter.done(answer);
+  }
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/relay/src/endpoint_pool_watch.cc
@@ -0,0 +1,124 @@
+/// What a pool does by the clock: deadlines, silence, trouble.
+#include <algorithm>
+#include <chrono>
+
+#include "cardamomchute/base/log.h"
+#include "cardamomchute/relay/endpoint_pool.h"
+#include "pool_timing.h"
+
+namespace cardamomchute {
+
+/// Ticks only while something is due.
+void EndpointPool::ScheduleTick() {
+  if (ticking_ || closed_) return;
+  ticking_ = true;
+  timer_.expires_after(std::chrono::milliseconds(kTick.ms()));
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  timer_.async_wait([weak](boost::system::error_code cancelled) {
+    std::shared_ptr<EndpointPool> self = weak.lock();
+    if (!self || cancelled || self->closed_) return;
+    self->ticking_ = false;
+    self->Tick();
+  });
+}
+
+void EndpointPool::Tick() {
+  Time now = Now();
+  ExpireWaiting(now);
+  ExpireRunning(now);
+  WatchForTrouble(now);
+  ServeFloorWaiters(now, false);
+  Dispatch();
+  bool due = !jobs_.empty() || !parked_.empty() || !floor_waiters_.empty() ||
+             std::any_of(held_.begin(), held_.end(),
+                         [](const HeldPtr& held) { return held->busy; });
+  if (due) ScheduleTick();
+}
+
+void EndpointPool::ExpireWaiting(Time now) {
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    if (now < it->second->hold_until) {
+      ++it;
+      continue;
+    }
+    queue_.Remove(it->first);
+    std::unique_ptr<Job> job = std::move(it->second);
+    it = jobs_.erase(it);
+    bool transaction = job->request.step == RunStep::kNext ||
+                       job->request.step == RunStep::kCommit;
+    if (transaction) Abandon(job->key, job->request.run);
+    Refuse(std::move(job), transaction ? Outcome::kAborted : Outcome::kBusy,
+           "waited too long for a slot");
+  }
+}
+
+void EndpointPool::ExpireRunning(Time now) {
+  std::vector<HeldPtr> all = held_;
+  bool silent = false;
+  for (const HeldPtr& held : all) {
+    bool unverified = held->verify_until && now >= *held->verify_until;
+    bool late = held->job && now >= held->job->deadline;
+    if (!unverified && !late) continue;
+    silent = true;
+    if (unverified) probing_ = false;
+    if (!held->job) {
+      LogLine(LogLevel::kInfo, "endpoint_connection_silent")
+          .Field("endpoint", parts_.endpoint);
+      Drop(held);
+      continue;
+    }
+    Outcome outcome = WithoutAnswer(held->job->request, held->sent,
+                                    held->wrote, Outcome::kTimeout);
+    std::unique_ptr<Job> job = std::move(held->job);
+    --running_;
+    LogLine(LogLevel::kInfo, "statement_timeout")
+        .Field("endpoint", parts_.endpoint)
+        .Field("request", job->request.id)
+        .Field("since_sent_ms", (now - held->sent_at).ms())
+        .Field("outcome", ToString(outcome));
+    Drop(held);
+    Refuse(std::move(job), outcome, "no answer in time");
+  }
+  if (silent) VerifyIdle(now);
+}
+
+/// One connection was lost or fell silent: the idle ones must answer before
+/// they are used again.
+void EndpointPool::VerifyIdle(Time now) {
+  for (const HeldPtr& held : held_) {
+    if (!held->ready || held->busy || held->pinned) continue;
+    Release(held);
+  }
+}
+
+void EndpointPool::WatchForTrouble(Time now) {
+  bool silent = false;
+  bool stalled = false;
+  for (const HeldPtr& held : held_) {
+    last_read_ = std::max(last_read_, held->link->last_read());
+    if (!held->busy) continue;
+    if (now - held->sent_at > kSilence) silent = true;
+    if (!held->job || !held->sent) continue;
+    bool write = held->job->request.writes ||
+                 (held->job->request.step == RunStep::kCommit && held->wrote);
+    if (write && now - held->sent_at > kWriteStall) stalled = true;
+  }
+  if (silent && now - last_read_ > kSilence) {
+    Report(Trouble::kSilent, now);
+  } else if (stalled && now - last_write_done_ > kWriteStall) {
+    Report(Trouble::kStalled, now);
+  }
+}
+
+void EndpointPool::Report(Trouble trouble, Time now) {
+  if (now - last_report_ < kReportInterval) return;
+  last_report_ = now;
+  LogLine(LogLevel::kInfo, "endpoint_trouble")
+      .Field("endpoint", parts_.endpoint)
+      .Field("trouble", ToString(trouble))
+      .Field("leads", bounds_.leads)
+      .Field("silent_ms", (now - last_read_).ms());
+  parts_.report(trouble);
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/relay/src/relay.cc
@@ -0,0 +1,392 @@
+#include "cardamomchute/relay/relay.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "relayed_session.h"
+#include "cardamomchute/base/log.h"
+
+namespace cardamomchute {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr Duration kSweep = Millis(500);
+constexpr Duration kDrainStep = Millis(50);
+/// The balancer still sends new callers for this long after a VM says that it
+/// is not ready.
+constexpr Duration kBalancerLag = Millis(2500);
+/// A holder that could not reach an endpoint is passed over this long.
+constexpr Duration kAvoidHolder = Millis(500);
+/// A report of an endpoint's load says nothing later than this.
+constexpr Duration kLoadValid = Millis(300);
+/// What a way to another zone counts for, in waiting statements.
+constexpr uint64_t kOtherZoneCost = 3;
+/// Connections to an endpoint that one holder may open, of all allowed: two
+/// VMs may hold some at once while holders change.
+constexpr double kHolderShare = 0.4;
+/// A pool that nobody uses is closed after this long.
+constexpr Duration kPoolIdle = Seconds(10);
+constexpr int kBacklog = 4096;
+
+}  // namespace
+
+Relay::Relay(RelayParts parts)
+    : parts_(std::move(parts)),
+      acceptor_(*parts_.io),
+      timer_(*parts_.io),
+      drain_timer_(*parts_.io) {}
+
+Relay::~Relay() = default;
+
+Status Relay::Start() {
+  mesh_ = std::make_shared<RelayMesh>(parts_.io, parts_.vm, Handlers());
+  BOOST_OUTCOME_TRYV(mesh_->Listen(parts_.peers));
+  error_code error;
+  asio::ip::address ip = asio::ip::make_address(parts_.callers.host, error);
+  tcp::endpoint endpoint(ip, parts_.callers.port);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(kBacklog, error);
+  if (error) {
+    return Error{ErrorKind::kIo,
+                 "cannot listen on " + ToString(parts_.callers) + ": " +
+                     error.message(),
+                 "set listen.callers to a free address of this VM"};
+  }
+  Accept();
+  ScheduleSweep();
+  return Ok();
+}
+
+MeshHandlers Relay::Handlers() {
+  std::weak_ptr<Relay> weak = weak_from_this();
+  MeshHandlers handlers;
+  handlers.on_run = [weak](const VmId& from, RunRequest request, RunDone done) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (!self) return;
+    std::shared_ptr<EndpointPool> pool =
+        self->PoolOf(request.endpoint, request.group, request.address);
+    SessionKey key{from, request.session};
+    pool->Submit(std::move(request), key, std::move(done));
+  };
+  handlers.on_abandon = [weak](const VmId& from, const AbandonRun& abandon) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (!self) return;
+    auto pool = self->pools_.find(abandon.endpoint);
+    if (pool == self->pools_.end()) return;
+    pool->second->Abandon(SessionKey{from, abandon.session}, abandon.run);
+  };
+  handlers.on_floor = [weak](const FloorQuestion& question,
+                             std::function<void(FloorAnswer)> done) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (!self) return;
+    self->PoolOf(question.endpoint, question.group, question.address)
+        ->AnswerFloor(std::move(done));
+  };
+  handlers.on_gone = [weak](const VmId& from) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (!self) return;
+    for (const auto& [id, pool] : self->pools_) pool->AbandonAll(from);
+  };
+  return handlers;
+}
+
+void Relay::Accept() {
+  std::weak_ptr<Relay> weak = weak_from_this();
+  acceptor_.async_accept([weak](error_code error, tcp::socket socket) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (!self || !self->acceptor_.is_open()) return;
+    if (!error) {
+      std::shared_ptr<RelayedSession> session = std::make_shared<RelayedSession>(
+          std::move(socket), self.get(), ++self->next_session_);
+      self->sessions_.insert(session);
+      session->Start();
+    }
+    self->Accept();
+  });
+}
+
+void Relay::Remove(const std::shared_ptr<RelayedSession>& session) {
+  sessions_.erase(session);
+}
+
+// ---- what control says -----------------------------------------------------
+
+void Relay::OnDirectory(const DirectoryDelta& delta) {
+  Merge(directory_, delta, Now());
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    auto record = directory_.endpoints.find(it->first);
+    bool gone =
+        record != directory_.endpoints.end() &&
+        (record->second.gone || record->second.address != it->second->address());
+    if (!gone) {
+      SetPoolBounds(it->first, it->second.get());
+      ++it;
+      continue;
+    }
+    std::shared_ptr<EndpointPool> pool = it->second;
+    it = pools_.erase(it);
+    pool->Close();
+  }
+  // Connections are opened before the first statement needs them.
+  for (const auto& [id, record] : directory_.endpoints) {
+    if (record.gone || record.leaving) continue;
+    std::vector<RelayRecord> holders = HoldersFor(directory_, record);
+    bool mine = !holders.empty() && holders.front().vm == parts_.vm;
+    if (mine && !draining_) PoolOf(id, record.group, record.address)->Warm();
+  }
+}
+
+void Relay::OnLayout(std::shared_ptr<const Layout> layout) {
+  layout_ = std::move(layout);
+  for (const auto& [id, pool] : pools_) SetPoolBounds(id, pool.get());
+}
+
+// ---- endpoints and their holders -------------------------------------------
+
+std::shared_ptr<EndpointPool> Relay::PoolOf(const EndpointId& endpoint,
+                                            const GroupId& group,
+                                            const Address& address) {
+  std::shared_ptr<EndpointPool>& pool = pools_[endpoint];
+  if (pool) return pool;
+  PoolParts parts;
+  parts.executor = parts_.io->get_executor();
+  parts.protocol = &parts_.endpoint_protocol;
+  parts.endpoint = endpoint;
+  parts.group = group;
+  parts.address = address;
+  std::weak_ptr<Relay> weak = weak_from_this();
+  parts.report = [weak, group, endpoint](Trouble trouble) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (self) self->parts_.report(group, endpoint, trouble);
+  };
+  parts.ask_floor =
+      [weak, group](std::function<void(std::optional<FloorAnswer>)> done) {
+        std::shared_ptr<Relay> self = weak.lock();
+        if (!self) return done(std::nullopt);
+        self->AskFloor(group, std::move(done));
+      };
+  pool = std::make_shared<EndpointPool>(std::move(parts));
+  SetPoolBounds(endpoint, pool.get());
+  return pool;
+}
+
+void Relay::SetPoolBounds(const EndpointId& endpoint, EndpointPool* pool) {
+  PoolBounds bounds;
+  auto record = directory_.endpoints.find(endpoint);
+  if (record != directory_.endpoints.end()) {
+    const EndpointRecord& known = record->second;
+    bounds.slots = std::max<uint32_t>(1, known.slots);
+    bounds.leaving = known.leaving;
+    auto lead = directory_.leads.find(known.group);
+    bounds.leads = lead != directory_.leads.end() &&
+                   lead->second.endpoint == endpoint;
+    uint32_t allowed = bounds.slots + 1;
+    if (layout_) {
+      auto group = layout_->groups.find(known.group);
+      if (group != layout_->groups.end()) allowed = group->second.connections;
+    }
+    bounds.connections =
+        std::max<uint32_t>(bounds.slots + 1, allowed * kHolderShare);
+  }
+  pool->SetBounds(bounds);
+}
+
+void Relay::Avoid(const EndpointId& endpoint, const Address& holder) {
+  avoid_until_[{endpoint, holder}] = Now() + kAvoidHolder;
+}
+
+bool Relay::Avoided(const EndpointId& endpoint, const Address& holder) const {
+  auto it = avoid_until_.find({endpoint, holder});
+  return it != avoid_until_.end() && Now() < it->second;
+}
+
+std::optional<Target> Relay::HolderOf(const EndpointRecord& endpoint) const {
+  Target target{endpoint, Address(), false};
+  auto lead = directory_.leads.find(endpoint.group);
+  target.leads = lead != directory_.leads.end() &&
+                 lead->second.endpoint == endpoint.id;
+  for (const RelayRecord& holder : HoldersFor(directory_, endpoint)) {
+    target.holder =
+        holder.vm == parts_.vm ? Address() : holder.address;
+    bool avoided = Avoided(endpoint.id, target.holder) ||
+                   (target.holder.port != 0 && mesh_->Avoided(target.holder));
+    if (!avoided) return target;
+  }
+  target.holder = Address();
+  if (Avoided(endpoint.id, target.holder)) return std::nullopt;
+  return target;
+}
+
+std::optional<Target> Relay::LeaderOf(const GroupId& group) const {
+  const EndpointRecord* lead = LeadOf(directory_, group);
+  if (lead == nullptr) return std::nullopt;
+  return HolderOf(*lead);
+}
+
+std::optional<Target> Relay::ReaderOf(
+    const GroupId& group, const std::set<EndpointId>& tried) const {
+  const EndpointRecord* lead = LeadOf(directory_, group);
+  std::optional<Target> best;
+  uint64_t best_cost = 0;
+  Time now = Now();
+  for (const EndpointRecord& member : MembersOf(directory_, group)) {
+    bool leads = lead != nullptr && member.id == lead->id;
+    if (leads || member.leaving || tried.contains(member.id)) continue;
+    std::optional<Target> target = HolderOf(member);
+    if (!target) continue;
+    uint64_t cost = member.zone == parts_.zone ? 0 : kOtherZoneCost;
+    auto load = loads_.find(member.id);
+    bool known = load != loads_.end() && now - load->second.at < kLoadValid;
+    if (known) cost += load->second.waiting;
+    if (best && cost >= best_cost) continue;
+    best = target;
+    best_cost = cost;
+  }
+  if (best || lead == nullptr || tried.contains(lead->id)) return best;
+  return HolderOf(*lead);
+}
+
+void Relay::Run(const Target& target, RunRequest request, bool wrote,
+                RunDone done) {
+  EndpointId endpoint = target.endpoint.id;
+  Address holder = target.holder;
+  std::weak_ptr<Relay> weak = weak_from_this();
+  RunDone noted = [weak, endpoint, holder,
+                   done = std::move(done)](RunAnswer answer) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (self) {
+      self->loads_[endpoint] = Load{answer.waiting, Now()};
+      bool avoid = answer.outcome == Outcome::kUnreachable ||
+                   answer.outcome == Outcome::kMisrouted ||
+                   answer.outcome == Outcome::kTooMany;
+      if (avoid) self->Avoid(endpoint, holder);
+    }
+    done(std::move(answer));
+  };
+  request.endpoint = endpoint;
+  request.group = target.endpoint.group;
+  request.address = target.endpoint.address;
+  if (holder.port != 0)
+    return mesh_->Run(holder, std::move(request), wrote, std::move(noted));
+  SessionKey key{parts_.vm, request.session};
+  PoolOf(endpoint, request.group, request.address)
+      ->Submit(std::move(request), key, std::move(noted));
+}
+
+void Relay::Abandon(const Target& target, const AbandonRun& abandon) {
+  if (target.holder.port != 0) return mesh_->Abandon(target.holder, abandon);
+  auto pool = pools_.find(abandon.endpoint);
+  if (pool == pools_.end()) return;
+  pool->second->Abandon(SessionKey{parts_.vm, abandon.session}, abandon.run);
+}
+
+void Relay::AskFloor(const GroupId& group,
+                     std::function<void(std::optional<FloorAnswer>)> done) {
+  std::optional<Target> leader = LeaderOf(group);
+  if (!leader) return done(std::nullopt);
+  FloorQuestion question;
+  question.endpoint = leader->endpoint.id;
+  question.group = group;
+  question.address = leader->endpoint.address;
+  if (leader->holder.port != 0)
+    return mesh_->AskFloor(leader->holder, question, std::move(done));
+  PoolOf(question.endpoint, group, question.address)
+      ->AnswerFloor([done](const FloorAnswer& answer) { done(answer); });
+}
+
+// ---- by the clock ----------------------------------------------------------
+
+void Relay::ScheduleSweep() {
+  timer_.expires_after(std::chrono::milliseconds(kSweep.ms()));
+  std::weak_ptr<Relay> weak = weak_from_this();
+  timer_.async_wait([weak](error_code cancelled) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (!self || cancelled) return;
+    self->Sweep();
+    self->ScheduleSweep();
+  });
+}
+
+void Relay::Sweep() {
+  Time now = Now();
+  std::set<std::shared_ptr<RelayedSession>> sessions = sessions_;
+  for (const std::shared_ptr<RelayedSession>& session : sessions)
+    session->EndIdleTransaction(now);
+  std::erase_if(avoid_until_,
+                [now](const auto& item) { return item.second <= now; });
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    auto record = directory_.endpoints.find(it->first);
+    bool mine = false;
+    if (record != directory_.endpoints.end()) {
+      std::vector<RelayRecord> holders = HoldersFor(directory_, record->second);
+      mine = !holders.empty() && holders.front().vm == parts_.vm;
+    }
+    bool unused = !mine && it->second->Idle() &&
+                  now - it->second->last_used() > kPoolIdle;
+    if (!unused) {
+      ++it;
+      continue;
+    }
+    it->second->Close();
+    it = pools_.erase(it);
+  }
+}
+
+void Relay::Drain(Duration transactions, Duration limit,
+                  std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drain_start_ = Now();
+  drain_transactions_ = transactions;
+  drain_limit_ = limit;
+  drained_ = std::move(done);
+  CheckDrained();
+}
+
+void Relay::CheckDrained() {
+  Duration spent = Now() - drain_start_;
+  std::set<std::shared_ptr<RelayedSession>> sessions = sessions_;
+  for (const std::shared_ptr<RelayedSession>& session : sessions) {
+    session->CloseIfIdle();
+    if (spent >= drain_transactions_) session->CloseTransaction();
+  }
+  bool pools_idle =
+      std::all_of(pools_.begin(), pools_.end(),
+                  [](const auto& item) { return item.second->Idle(); });
+  bool quiet = sessions_.empty() && pools_idle && spent >= kBalancerLag;
+  if (quiet || spent >= drain_limit_) {
+    LogLine(LogLevel::kInfo, "drained")
+        .Field("spent_ms", spent.ms())
+        .Field("sessions_left", sessions_.size())
+        .Field("pools_idle", pools_idle);
+    if (drained_) std::exchange(drained_, nullptr)();
+    return;
+  }
+  drain_timer_.expires_after(std::chrono::milliseconds(kDrainStep.ms()));
+  std::weak_ptr<Relay> weak = weak_from_this();
+  drain_timer_.async_wait([weak](error_code cancelled) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (self && !cancelled) self->CheckDrained();
+  });
+}
+
+void Relay::Stop() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  timer_.cancel();
+  drain_timer_.cancel();
+  std::set<std::shared_ptr<RelayedSession>> sessions = std::move(sessions_);
+  for (const std::shared_ptr<RelayedSession>& session : sessions)
+    session->Close();
+  for (const auto& [id, pool] : pools_) pool->Close();
+  pools_.clear();
+  if (mesh_) mesh_->Close();
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/relay/src/relayed_session.cc
@@ -0,0 +1,468 @@
+#include "relayed_session.h"
+
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "cardamomchute/base/log.h"
+
+namespace cardamomchute {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 2 * 1024;
+/// A caller that sends this much ahead of its answers is cut off.
+constexpr size_t kMaxAheadBytes = 4 * 1024 * 1024;
+/// What cannot be sent anywhere is tried again after this long.
+constexpr Duration kRetryPause = Millis(20);
+/// Part of a statement's time that it may wait without having been sent.
+constexpr int64_t kHoldPercent = 50;
+constexpr int kMaxSends = 8;
+
+}  // namespace
+
+RelayedSession::RelayedSession(asio::ip::tcp::socket socket, Relay* relay,
+                             uint64_t number)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      relay_(relay),
+      number_(number),
+      last_use_(Now()) {}
+
+void RelayedSession::Start() {
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Read();
+}
+
+void RelayedSession::Read() {
+  if (in_.size() < in_used_ + kReadBytes) in_.resize(in_used_ + kReadBytes);
+  std::shared_ptr<RelayedSession> self = shared_from_this();
+  socket_.async_read_some(
+      asio::buffer(in_.data() + in_used_, in_.size() - in_used_),
+      [self](error_code error, size_t count) {
+        if (self->closed_) return;
+        bool flood = self->in_used_ + count > kMaxAheadBytes;
+        if (error || flood) return self->Close();
+        self->in_used_ += count;
+        self->Parse();
+        if (!self->closed_) self->Read();
+      });
+}
+
+/// One statement at a time: the next waits in the buffer.
+void RelayedSession::Parse() {
+  size_t at = 0;
+  while (!closed_ && !close_after_write_ && !attempt_) {
+    Result<Decoded<CallerMessage>> decoded = relay_->parts().caller_protocol.decode(
+        std::string_view(in_.data() + at, in_used_ - at));
+    if (!decoded) {
+      LogLine(LogLevel::kInfo, "caller_refused")
+          .Field("session", number_)
+          .Field("error", ToString(decoded.error()));
+      return Close();
+    }
+    if (decoded.value().used == 0) break;
+    at += decoded.value().used;
+    OnMessage(std::move(*decoded.value().message));
+  }
+  in_.erase(0, at);
+  in_used_ -= at;
+}
+
+void RelayedSession::OnMessage(CallerMessage message) {
+  last_use_ = Now();
+  if (std::get_if<CallerQuit>(&message) != nullptr) return Close();
+  if (const auto* hello = std::get_if<CallerHello>(&message))
+    return OnHello(*hello);
+  if (!greeted_) return Close();
+  OnStatement(std::move(std::get<CallerStatement>(message)));
+}
+
+void RelayedSession::OnHello(const CallerHello& hello) {
+  if (greeted_) return Close();
+  std::shared_ptr<const Layout> layout = relay_->layout();
+  const RouteSpec* route =
+      layout ? FindRoute(*layout, hello.database) : nullptr;
+  if (route == nullptr) {
+    StatementResult refused;
+    refused.outcome = layout ? Outcome::kNoDatabase : Outcome::kBusy;
+    refused.detail = hello.database.value();
+    relay_->parts().caller_protocol.encode_result(refused, &queued_);
+    close_after_write_ = true;
+    if (writing_.empty()) Write();
+    return;
+  }
+  greeted_ = true;
+  database_ = hello.database;
+  relay_->parts().caller_protocol.encode_ready(State(), at_, &queued_);
+  if (writing_.empty()) Write();
+}
+
+// ---- statements ------------------------------------------------------------
+
+void RelayedSession::OnStatement(CallerStatement statement) {
+  CallerVerb kind = statement.kind;
+  if (kind == CallerVerb::kRollback) return OnRollback();
+  if (kind == CallerVerb::kCommit) return OnCommit(std::move(statement));
+  if (transaction_ == Transaction::kFailed)
+    return Answer({.outcome = Outcome::kMalformed,
+                   .detail = "the transaction has failed; roll back"});
+  switch (kind) {
+    case CallerVerb::kBegin:
+    case CallerVerb::kBeginReadOnly:
+      return OnBegin(statement);
+    case CallerVerb::kRead:
+    case CallerVerb::kWrite: {
+      std::string text = statement.text;
+      return Begin(std::move(statement), kind == CallerVerb::kWrite,
+                   std::nullopt, std::move(text));
+    }
+    case CallerVerb::kExecute:
+      return OnExecute(std::move(statement));
+    case CallerVerb::kSet:
+      values_[statement.name] = statement.rest;
+      return AnswerDone();
+    case CallerVerb::kPrepare:
+      return OnPrepare(statement);
+    case CallerVerb::kDeallocate:
+      if (prepared_.erase(statement.name) > 0) return AnswerDone();
+      return Fail(Outcome::kNoStatement, statement.name);
+    default:
+      return Fail(Outcome::kMalformed, "unknown statement");
+  }
+}
+
+void RelayedSession::OnBegin(const CallerStatement& statement) {
+  if (transaction_ != Transaction::kNone)
+    return Fail(Outcome::kMalformed, "a transaction is open");
+  // Nothing is sent yet: the endpoint is chosen with the first statement.
+  transaction_ = Transaction::kAsked;
+  read_only_ = statement.kind == CallerVerb::kBeginReadOnly;
+  wrote_ = false;
+  run_ = relay_->NextRun();
+  route_.reset();
+  AnswerDone();
+}
+
+void RelayedSession::OnCommit(CallerStatement statement) {
+  if (transaction_ == Transaction::kNone)
+    return Answer({.outcome = Outcome::kMalformed,
+                   .detail = "no transaction is open"});
+  if (transaction_ == Transaction::kFailed) {
+    transaction_ = Transaction::kNone;
+    return Answer({.outcome = Outcome::kAborted,
+                   .detail = "the transaction had failed"});
+  }
+  std::string text = statement.text;
+  Begin(std::move(statement), false, std::nullopt, std::move(text));
+}
+
+void RelayedSession::OnRollback() {
+  AbandonTransaction();
+  transaction_ = Transaction::kNone;
+  AnswerDone();
+}
+
+void RelayedSession::OnPrepare(const CallerStatement& statement) {
+  prepared_[statement.name] = PreparedStatement{
+      SharedName(statement.rest, statement.prepares_write), statement.rest,
+      statement.prepares_write};
+  AnswerDone();
+}
+
+void RelayedSession::OnExecute(CallerStatement statement) {
+  auto prepared = prepared_.find(statement.name);
+  if (prepared == prepared_.end())
+    return Fail(Outcome::kNoStatement, statement.name);
+  // The statement's own word stays; only the name is the shared one.
+  size_t name = statement.text.find(statement.name, statement.text.find(' '));
+  std::string text = statement.text;
+  text.replace(name, statement.name.size(), prepared->second.shared_name);
+  bool writes = prepared->second.writes;
+  PreparedStatement known = prepared->second;
+  Begin(std::move(statement), writes, std::move(known), std::move(text));
+}
+
+void RelayedSession::Begin(CallerStatement statement, bool writes,
+                          std::optional<PreparedStatement> prepared,
+                          std::string text) {
+  bool settled = transaction_ != Transaction::kNone && route_;
+  if (!settled) {
+    std::shared_ptr<const Layout> layout = relay_->layout();
+    const RouteSpec* route = FindRoute(*layout, database_);
+    if (route == nullptr) return Fail(Outcome::kNoDatabase, database_.value());
+    route_ = *route;
+  }
+  if (writes && transaction_ != Transaction::kNone && read_only_)
+    return Fail(Outcome::kReadOnly, "the transaction only reads");
+  attempt_ = std::make_unique<Attempt>();
+  attempt_->statement = std::move(statement);
+  attempt_->writes = writes;
+  attempt_->prepared = std::move(prepared);
+  attempt_->text = std::move(text);
+  attempt_->started = Now();
+  Duration timeout = route_->statement_timeout;
+  attempt_->deadline = attempt_->started + timeout;
+  attempt_->hold_until = attempt_->started + timeout * kHoldPercent / 100;
+  attempt_->last = {.outcome = Outcome::kBusy,
+                    .detail = "no endpoint can take it now"};
+  TrySend();
+}
+
+void RelayedSession::TrySend() {
+  if (transaction_ == Transaction::kOpen) return Send(*target_);
+  bool replica_will_do =
+      route_->rule != ReadRule::kPrimary && !attempt_->writes &&
+      (transaction_ == Transaction::kNone || read_only_);
+  std::optional<Target> target =
+      replica_will_do ? relay_->ReaderOf(route_->group, attempt_->tried)
+                      : relay_->LeaderOf(route_->group);
+  if (target) return Send(*target);
+  attempt_->tried.clear();
+  TryLater();
+}
+
+void RelayedSession::TryLater() {
+  Time now = Now();
+  bool over = now + kRetryPause >= attempt_->hold_until ||
+              attempt_->sends >= kMaxSends;
+  if (over) return Fail(attempt_->last.outcome, attempt_->last.detail);
+  timer_.expires_after(std::chrono::milliseconds(kRetryPause.ms()));
+  std::shared_ptr<RelayedSession> self = shared_from_this();
+  timer_.async_wait([self](error_code cancelled) {
+    if (!cancelled && !self->closed_ && self->attempt_) self->TrySend();
+  });
+}
+
+void RelayedSession::Send(const Target& target) {
+  Time now = Now();
+  RunRequest request;
+  request.session = number_;
+  bool commit = attempt_->statement.kind == CallerVerb::kCommit;
+  switch (transaction_) {
+    case Transaction::kOpen:
+      request.step = commit ? RunStep::kCommit : RunStep::kNext;
+      break;
+    case Transaction::kAsked:
+      request.step = RunStep::kFirst;
+      break;
+    default:
+      request.step = RunStep::kSingle;
+      run_ = relay_->NextRun();
+  }
+  request.run = run_;
+  request.writes = attempt_->writes;
+  request.read_only = read_only_ && transaction_ != Transaction::kNone;
+  bool plain_transaction =
+      transaction_ != Transaction::kNone && !read_only_;
+  request.at_leader =
+      route_->rule == ReadRule::kPrimary || plain_transaction;
+  auto floor = floors_.find(route_->group);
+  if (route_->rule == ReadRule::kSession && floor != floors_.end())
+    request.floor = floor->second;
+  request.max_staleness = route_->max_staleness;
+  request.rank = route_->rank;
+  request.hold = std::max(attempt_->hold_until - now, Millis(1));
+  if (transaction_ == Transaction::kOpen)
+    request.hold = attempt_->deadline - now;
+  request.timeout = std::max(attempt_->deadline - now, Millis(1));
+  request.values = values_;
+  request.prepared = attempt_->prepared;
+  request.id = attempt_->statement.id;
+  request.text = attempt_->text;
+  target_ = target;
+  ++attempt_->sends;
+  attempt_->tried.insert(target.endpoint.id);
+  std::weak_ptr<RelayedSession> weak = weak_from_this();
+  relay_->Run(target, std::move(request), wrote_,
+              [weak, target](RunAnswer answer) {
+                std::shared_ptr<RelayedSession> self = weak.lock();
+                if (!self || self->closed_ || !self->attempt_) return;
+                self->OnAnswer(target, std::move(answer));
+              });
+}
+
+bool RelayedSession::MayRetry(const RunAnswer& answer, Time now) const {
+  if (transaction_ == Transaction::kOpen) return false;
+  if (attempt_->sends >= kMaxSends || now >= attempt_->deadline) return false;
+  switch (answer.outcome) {
+    case Outcome::kLagging:
+    case Outcome::kReadOnly:
+    case Outcome::kMisrouted:
+    case Outcome::kTooMany:
+    case Outcome::kNoStatement:
+    case Outcome::kUnreachable:
+      return true;
+    case Outcome::kFailed:
+    case Outcome::kUnknown:
+    case Outcome::kTimeout:
+      return transaction_ == Transaction::kNone && !attempt_->writes;
+    default:
+      return false;
+  }
+}
+
+void RelayedSession::OnAnswer(const Target& target, RunAnswer answer) {
+  Time now = Now();
+  if (answer.outcome == Outcome::kDone) return TakeSuccess(target, answer);
+  attempt_->last = {.outcome = answer.outcome, .detail = answer.detail};
+  if (!MayRetry(answer, now)) return Fail(answer.outcome, answer.detail);
+  LogLine(LogLevel::kDebug, "statement_again")
+      .Field("request", attempt_->statement.id)
+      .Field("endpoint", target.endpoint.id)
+      .Field("outcome", ToString(answer.outcome));
+  // A lead that moved, or an endpoint that cannot be reached, takes a moment.
+  bool pause = target.leads && answer.outcome != Outcome::kNoStatement;
+  if (pause) {
+    attempt_->tried.clear();
+    return TryLater();
+  }
+  TrySend();
+}
+
+void RelayedSession::TakeSuccess(const Target& target, const RunAnswer& answer) {
+  bool commit = attempt_->statement.kind == CallerVerb::kCommit;
+  if (attempt_->writes) wrote_ = true;
+  bool committed = commit ? wrote_
+                          : transaction_ == Transaction::kNone &&
+                                attempt_->writes;
+  at_ = answer.at;
+  if (committed && answer.at) {
+    Floor& floor = floors_[route_->group];
+    floor = std::max(floor, *answer.at);
+  }
+  if (commit) {
+    transaction_ = Transaction::kNone;
+  } else if (transaction_ != Transaction::kNone) {
+    if (!answer.transaction) {
+      // The endpoint ended it; nothing of it is kept.
+      return Fail(Outcome::kAborted, "the transaction was ended");
+    }
+    transaction_ = Transaction::kOpen;
+  }
+  StatementResult result;
+  result.outcome = Outcome::kDone;
+  result.rows = answer.rows;
+  result.signature = answer.signature;
+  LogEnd(result, &target);
+  attempt_ = nullptr;
+  if (transaction_ == Transaction::kNone) wrote_ = false;
+  Answer(result);
+}
+
+/// Ends the statement under way, if any, and its transaction.
+void RelayedSession::Fail(Outcome outcome, const std::string& detail) {
+  StatementResult result{.outcome = outcome, .detail = detail};
+  bool commit = attempt_ && attempt_->statement.kind == CallerVerb::kCommit;
+  if (attempt_) LogEnd(result, target_ ? &*target_ : nullptr);
+  attempt_ = nullptr;
+  if (transaction_ != Transaction::kNone) {
+    AbandonTransaction();
+    transaction_ = commit ? Transaction::kNone : Transaction::kFailed;
+  }
+  wrote_ = false;
+  Answer(result);
+}
+
+void RelayedSession::LogEnd(const StatementResult& result,
+                           const Target* target) {
+  LogLevel level =
+      result.outcome == Outcome::kDone ? LogLevel::kDebug : LogLevel::kInfo;
+  if (!LogEnabled(level)) return;
+  LogLine line(level, "statement");
+  line.Field("request", attempt_->statement.id)
+      .Field("database", database_)
+      .Field("rank", route_->rank)
+      .Field("writes", attempt_->writes)
+      .Field("transaction", static_cast<int>(transaction_))
+      .Field("sends", attempt_->sends)
+      .Field("spent_ms", (Now() - attempt_->started).ms())
+      .Field("outcome", ToString(result.outcome));
+  if (target != nullptr) line.Field("endpoint", target->endpoint.id);
+  if (!result.detail.empty()) line.Field("detail", result.detail);
+}
+
+void RelayedSession::AbandonTransaction() {
+  if (!target_ || (transaction_ != Transaction::kOpen && !attempt_)) return;
+  relay_->Abandon(*target_, AbandonRun{number_, run_, target_->endpoint.id});
+  target_.reset();
+}
+
+TransactionState RelayedSession::State() const {
+  switch (transaction_) {
+    case Transaction::kNone:
+      return TransactionState::kNone;
+    case Transaction::kAsked:
+    case Transaction::kOpen:
+      return TransactionState::kOpen;
+    case Transaction::kFailed:
+      return TransactionState::kFailed;
+  }
+  return TransactionState::kFailed;
+}
+
+// ---- the socket ------------------------------------------------------------
+
+void RelayedSession::Answer(const StatementResult& result) {
+  const CallerProtocol& protocol = relay_->parts().caller_protocol;
+  protocol.encode_result(result, &queued_);
+  protocol.encode_ready(State(), at_, &queued_);
+  last_use_ = Now();
+  if (writing_.empty()) Write();
+}
+
+void RelayedSession::Write() {
+  if (closed_ || queued_.empty()) return;
+  writing_.swap(queued_);
+  queued_.clear();
+  std::shared_ptr<RelayedSession> self = shared_from_this();
+  asio::async_write(socket_, asio::buffer(writing_),
+                    [self](error_code error, size_t) {
+                      if (self->closed_) return;
+                      if (error) return self->Close();
+                      self->writing_.clear();
+                      if (!self->queued_.empty()) return self->Write();
+                      if (self->close_after_write_) return self->Close();
+                      if (!self->attempt_ && self->in_used_ > 0) self->Parse();
+                    });
+}
+
+void RelayedSession::CloseIfIdle() {
+  bool idle = !attempt_ && transaction_ == Transaction::kNone &&
+              writing_.empty() && in_used_ == 0;
+  if (idle) Close();
+}
+
+void RelayedSession::CloseTransaction() {
+  if (!attempt_ && writing_.empty()) Close();
+}
+
+void RelayedSession::EndIdleTransaction(Time now) {
+  bool open = transaction_ == Transaction::kOpen && !attempt_;
+  std::shared_ptr<const Layout> layout = relay_->layout();
+  if (!open || !layout || now - last_use_ < layout->idle_transaction) return;
+  LogLine(LogLevel::kInfo, "idle_transaction_ended")
+      .Field("session", number_)
+      .Field("endpoint", target_->endpoint.id)
+      .Field("idle_ms", (now - last_use_).ms());
+  AbandonTransaction();
+  transaction_ = Transaction::kFailed;
+}
+
+void RelayedSession::Close() {
+  if (closed_) return;
+  closed_ = true;
+  timer_.cancel();
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  // A statement that still waits for its turn need not run any more.
+  AbandonTransaction();
+  attempt_ = nullptr;
+  relay_->Remove(shared_from_this());
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/relay/src/relayed_session.h
@@ -0,0 +1,112 @@
+/// One caller's connection: its values, prepared statements, transaction, and
+/// the way of each statement to an endpoint.
+#ifndef CARDAMOMCHUTE_RELAY_SRC_RELAYED_SESSION_H_
+#define CARDAMOMCHUTE_RELAY_SRC_RELAYED_SESSION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "cardamomchute/relay/relay.h"
+
+namespace cardamomchute {
+
+class RelayedSession : public std::enable_shared_from_this<RelayedSession> {
+ public:
+  RelayedSession(boost::asio::ip::tcp::socket socket, Relay* relay,
+                uint64_t number);
+
+  void Start();
+  /// Closes unless a transaction is open or a statement is under way.
+  void CloseIfIdle();
+  /// Closes also with a transaction open, unless a statement is under way.
+  void CloseTransaction();
+  /// Rolls back a transaction that rested for too long.
+  void EndIdleTransaction(Time now);
+  void Close();
+
+ private:
+  enum class Transaction : uint8_t {
+    kNone,
+    kAsked,   ///< begun by the caller, no statement has run yet
+    kOpen,    ///< on an endpoint's connection
+    kFailed,  ///< rolled back; the caller has yet to end it
+  };
+
+  /// A statement that wants an answer.
+  struct Attempt {
+    CallerStatement statement;
+    bool writes = false;
+    std::optional<PreparedStatement> prepared;
+    std::string text;
+    Time started;
+    Time deadline;
+    Time hold_until;
+    std::set<EndpointId> tried;
+    int sends = 0;
+    StatementResult last;
+  };
+
+  void Read();
+  void Parse();
+  void OnMessage(CallerMessage message);
+  void OnHello(const CallerHello& hello);
+  void OnStatement(CallerStatement statement);
+  void OnBegin(const CallerStatement& statement);
+  void OnCommit(CallerStatement statement);
+  void OnRollback();
+  void OnPrepare(const CallerStatement& statement);
+  void OnExecute(CallerStatement statement);
+
+  void Begin(CallerStatement statement, bool writes,
+             std::optional<PreparedStatement> prepared, std::string text);
+  void TrySend();
+  void Send(const Target& target);
+  void TryLater();
+  void OnAnswer(const Target& target, RunAnswer answer);
+  bool MayRetry(const RunAnswer& answer, Time now) const;
+  void TakeSuccess(const Target& target, const RunAnswer& answer);
+  void Fail(Outcome outcome, const std::string& detail);
+  void LogEnd(const StatementResult& result, const Target* target);
+
+  void Answer(const StatementResult& result);
+  void AnswerDone() { Answer(StatementResult{.outcome = Outcome::kDone}); }
+  void Write();
+  TransactionState State() const;
+  void AbandonTransaction();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  Relay* relay_;
+  uint64_t number_;
+  std::string in_;
+  size_t in_used_ = 0;
+  bool reading_ = false;
+  std::string queued_;
+  std::string writing_;
+  bool closed_ = false;
+  bool close_after_write_ = false;
+  Time last_use_;
+
+  bool greeted_ = false;
+  DatabaseName database_;
+  std::map<std::string, std::string> values_;
+  std::map<std::string, PreparedStatement> prepared_;
+  std::map<GroupId, Floor> floors_;  ///< the session's own commits
+  Transaction transaction_ = Transaction::kNone;
+  bool read_only_ = false;
+  bool wrote_ = false;
+  uint64_t run_ = 0;
+  std::optional<RouteSpec> route_;  ///< of the transaction or statement
+  std::optional<Target> target_;    ///< of the last statement
+  std::optional<Floor> at_;
+  std::unique_ptr<Attempt> attempt_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_RELAY_SRC_RELAYED_SESSION_H_
--- a/platform/include/cardamomchute/platform/health.h
+++ b/telemetry/include/cardamomchute/telemetry/health.h
@@ -1,13 +1,13 @@
 /// What the platform's balancer and monitoring ask a VM over HTTP.
-#ifndef CARDAMOMCHUTE_PLATFORM_HEALTH_H_
-#define CARDAMOMCHUTE_PLATFORM_HEALTH_H_
+#ifndef CARDAMOMCHUTE_TELEMETRY_HEALTH_H_
+#define CARDAMOMCHUTE_TELEMETRY_HEALTH_H_
 
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "cardamomchute/platform/http_server.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/http/http_server.h"
+#include "cardamomchute/telemetry/metrics.h"
 
 namespace cardamomchute {
 
@@ -24,4 +24,4 @@
 
 }  // namespace cardamomchute
 
-#endif  // CARDAMOMCHUTE_PLATFORM_HEALTH_H_
+#endif  // CARDAMOMCHUTE_TELEMETRY_HEALTH_H_
--- a/platform/include/cardamomchute/platform/metrics.h
+++ b/telemetry/include/cardamomchute/telemetry/metrics.h
@@ -1,6 +1,6 @@
 /// Counters, gauges and histograms of one process, printed as Prometheus text.
-#ifndef CARDAMOMCHUTE_PLATFORM_METRICS_H_
-#define CARDAMOMCHUTE_PLATFORM_METRICS_H_
+#ifndef CARDAMOMCHUTE_TELEMETRY_METRICS_H_
+#define CARDAMOMCHUTE_TELEMETRY_METRICS_H_
 
 #include <atomic>
 #include <boost/histogram.hpp>
@@ -82,4 +82,4 @@
 
 }  // namespace cardamomchute
 
-#endif  // CARDAMOMCHUTE_PLATFORM_METRICS_H_
+#endif  // CARDAMOMCHUTE_TELEMETRY_METRICS_H_
--- a/platform/src/health.cc
+++ b/telemetry/src/health.cc
@@ -1,10 +1,10 @@
-#include "cardamomchute/platform/health.h"
+#include "cardamomchute/telemetry/health.h"
 
 namespace cardamomchute {
 namespace {
 
 HttpResponse Plain(uint32_t status, std::string body) {
-  return HttpResponse{status, "text/plain; charset=utf-8", std::move(body)};
+  return HttpResponse{status, "text/plain; charset=utf-8", std::move(body), {}};
 }
 
 }  // namespace
--- a/platform/test/health-test.cc
+++ b/telemetry/test/health-test.cc
@@ -1,9 +1,9 @@
-#include "cardamomchute/platform/health.h"
+#include "cardamomchute/telemetry/health.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 
-#include "cardamomchute/platform/http_client.h"
+#include "cardamomchute/http/http_client.h"
 #include "running_server.h"
 
 namespace cardamomchute {
--- a/platform/test/metrics-test.cc
+++ b/telemetry/test/metrics-test.cc
@@ -1,4 +1,4 @@
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/metrics.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "cardamomchute/platform/http_client.h"
+#include "cardamomchute/http/http_client.h"
 
 namespace cardamomchute::testing {
 namespace {
--- a/tools/loadgen/src/load.h
+++ b/tools/loadgen/src/load.h
@@ -14,7 +14,7 @@
 #include "cardamomchute/base/error.h"
 #include "cardamomchute/base/ids.h"
 #include "cardamomchute/loadgen_history/history.h"
-#include "cardamomchute/platform/metrics.h"
+#include "cardamomchute/telemetry/metrics.h"
 #include "pg_client.h"
 #include "rank_spec.h"
 
