--- a/policy/include/cardamomchute/policy/directory.h
+++ b/policy/include/cardamomchute/policy/directory.h
@@ -97,10 +97,22 @@
 /// The endpoint that leads; null when it is not known.
 const EndpointRecord* LeadOf(const Directory& directory, const GroupId& group);
 
-/// The VMs that may hold the connections to an endpoint, the best one first:
-/// those of its zone, each endpoint with an order of its own.
-std::vector<RelayRecord> HoldersFor(const Directory& directory,
-                                    const EndpointRecord& endpoint);
+/// The VMs that hold the connections to one endpoint.
+struct Holders {
+  /// Those that share its slots; a caller's relay uses one of them.
+  std::vector<RelayRecord> active;
+  /// Those to turn to when an active one fails, in order.
+  std::vector<RelayRecord> reserve;
+};
+
+/// Slots of an endpoint that one holder manages: more holders, and so more
+/// links, for endpoints that answer more at a time.
+inline constexpr uint32_t kSlotsPerHolder = 2;
+inline constexpr size_t kReserveHolders = 3;
+
+/// Gives each endpoint holders of its own availability zone where there are
+/// any, spread so that no VM holds many. Equal on all VMs that know the same.
+std::map<EndpointId, Holders> AssignHolders(const Directory& directory);
 
 }  // namespace cardamomchute
 
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -103,8 +103,8 @@
   }
   for (const auto& [group, lead] : delta.leads) {
     LeadRecord& known = directory.leads[group];
-    bool newer = std::tie(lead.reign, lead.change) >
-                 std::tie(known.reign, known.change);
+    bool newer =
+        std::tie(lead.reign, lead.change) > std::tie(known.reign, known.change);
     if (!newer) continue;
     known = lead;
     changed.leads[group] = lead;
@@ -167,22 +167,55 @@
   return endpoint->second.gone ? nullptr : &endpoint->second;
 }
 
-std::vector<RelayRecord> HoldersFor(const Directory& directory,
-                                    const EndpointRecord& endpoint) {
-  std::vector<RelayRecord> holders;
+std::map<EndpointId, Holders> AssignHolders(const Directory& directory) {
+  std::vector<RelayRecord> relays;
   for (const auto& [vm, record] : directory.relays) {
-    if (!record.gone && !record.draining) holders.push_back(record);
+    if (!record.gone && !record.draining) relays.push_back(record);
   }
-  // By address, so that a member's successor finds warm connections' VM.
-  std::string key = ToString(endpoint.address);
-  std::sort(holders.begin(), holders.end(),
-            [&](const RelayRecord& a, const RelayRecord& b) {
-              bool near_a = a.zone == endpoint.zone;
-              bool near_b = b.zone == endpoint.zone;
-              if (near_a != near_b) return near_a;
-              return Weight(key, a.vm.value()) > Weight(key, b.vm.value());
+  // By address, so that a member's successor finds the same holders.
+  std::vector<EndpointRecord> endpoints;
+  for (const auto& [id, record] : directory.endpoints) {
+    if (!record.gone) endpoints.push_back(record);
+  }
+  std::sort(endpoints.begin(), endpoints.end(),
+            [](const EndpointRecord& a, const EndpointRecord& b) {
+              return std::tie(a.address, a.id) < std::tie(b.address, b.id);
             });
-  return holders;
+  std::map<VmId, size_t> taken;
+  std::map<EndpointId, Holders> assigned;
+  for (const EndpointRecord& endpoint : endpoints) {
+    struct Candidate {
+      bool far = false;
+      size_t taken = 0;
+      uint64_t weight = 0;
+      const RelayRecord* relay = nullptr;
+    };
+    std::string key = ToString(endpoint.address);
+    std::vector<Candidate> candidates;
+    for (const RelayRecord& relay : relays) {
+      candidates.push_back({relay.zone != endpoint.zone, taken[relay.vm],
+                            Weight(key, relay.vm.value()), &relay});
+    }
+    size_t wanted = (endpoint.slots + kSlotsPerHolder - 1) / kSlotsPerHolder;
+    size_t kept = std::min(candidates.size(), wanted + kReserveHolders);
+    std::partial_sort(
+        candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(kept),
+        candidates.end(), [](const Candidate& a, const Candidate& b) {
+          return std::tie(a.far, a.taken, b.weight) <
+                 std::tie(b.far, b.taken, a.weight);
+        });
+    Holders& holders = assigned[endpoint.id];
+    for (size_t i = 0; i < kept; ++i) {
+      const RelayRecord& relay = *candidates[i].relay;
+      if (i >= wanted) {
+        holders.reserve.push_back(relay);
+        continue;
+      }
+      holders.active.push_back(relay);
+      ++taken[relay.vm];
+    }
+  }
+  return assigned;
 }
 
 }  // namespace cardamomchute
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -38,7 +38,7 @@
 /// Where a statement may be sent.
 struct Target {
   EndpointRecord endpoint;
-  Address holder;      ///< unset port: this VM itself
+  Address holder;  ///< unset port: this VM itself
   bool leads = false;
 };
 
@@ -81,6 +81,10 @@
   void Sweep();
   void CheckDrained();
   std::optional<Target> HolderOf(const EndpointRecord& endpoint) const;
+  /// How many VMs share the endpoint's slots, if this VM is one of them.
+  size_t SharersWith(const EndpointId& endpoint) const;
+  bool Usable(const EndpointId& endpoint, const Address& holder) const;
+  void NoteLag(const EndpointId& endpoint, bool lagging);
   std::shared_ptr<EndpointPool> PoolOf(const EndpointId& endpoint,
                                        const GroupId& group,
                                        const Address& address);
@@ -96,11 +100,18 @@
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer drain_timer_;
   Directory directory_;
+  std::map<EndpointId, Holders> holders_;
   std::shared_ptr<const Layout> layout_;
   std::shared_ptr<RelayMesh> mesh_;
   std::map<EndpointId, std::shared_ptr<EndpointPool>> pools_;
   std::map<EndpointId, Load> loads_;
   std::map<std::pair<EndpointId, Address>, Time> avoid_until_;
+  /// Replicas that lag behind what reads need.
+  struct Lag {
+    Time until;
+    Duration pause;
+  };
+  std::map<EndpointId, Lag> lagging_;
   std::set<std::shared_ptr<RelayedSession>> sessions_;
   uint64_t next_session_ = 0;
   uint64_t next_run_ = 0;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -4,8 +4,8 @@
 #include <chrono>
 #include <utility>
 
-#include "relayed_session.h"
 #include "cardamomchute/base/log.h"
+#include "relayed_session.h"
 
 namespace cardamomchute {
 namespace {
@@ -27,7 +27,10 @@
 constexpr uint64_t kOtherZoneCost = 3;
 /// Connections to an endpoint that one holder may open, of all allowed: two
 /// VMs may hold some at once while holders change.
-constexpr double kHolderShare = 0.4;
+constexpr double kHolderShare = 0.85;
+/// A replica that lacked a position is passed over this long.
+constexpr Duration kLagPauseMin = Millis(50);
+constexpr Duration kLagPauseMax = Millis(800);
 /// A pool that nobody uses is closed after this long.
 constexpr Duration kPoolIdle = Seconds(10);
 constexpr int kBacklog = 4096;
@@ -53,10 +56,10 @@
   if (!error) acceptor_.bind(endpoint, error);
   if (!error) acceptor_.listen(kBacklog, error);
   if (error) {
-    return Error{ErrorKind::kIo,
-                 "cannot listen on " + ToString(parts_.callers) + ": " +
-                     error.message(),
-                 "set listen.callers to a free address of this VM"};
+    return Error{
+        ErrorKind::kIo,
+        "cannot listen on " + ToString(parts_.callers) + ": " + error.message(),
+        "set listen.callers to a free address of this VM"};
   }
   Accept();
   ScheduleSweep();
@@ -102,8 +105,9 @@
     std::shared_ptr<Relay> self = weak.lock();
     if (!self || !self->acceptor_.is_open()) return;
     if (!error) {
-      std::shared_ptr<RelayedSession> session = std::make_shared<RelayedSession>(
-          std::move(socket), self.get(), ++self->next_session_);
+      std::shared_ptr<RelayedSession> session =
+          std::make_shared<RelayedSession>(std::move(socket), self.get(),
+                                           ++self->next_session_);
       self->sessions_.insert(session);
       session->Start();
     }
@@ -119,11 +123,12 @@
 
 void Relay::OnDirectory(const DirectoryDelta& delta) {
   Merge(directory_, delta, Now());
+  holders_ = AssignHolders(directory_);
   for (auto it = pools_.begin(); it != pools_.end();) {
     auto record = directory_.endpoints.find(it->first);
-    bool gone =
-        record != directory_.endpoints.end() &&
-        (record->second.gone || record->second.address != it->second->address());
+    bool gone = record != directory_.endpoints.end() &&
+                (record->second.gone ||
+                 record->second.address != it->second->address());
     if (!gone) {
       SetPoolBounds(it->first, it->second.get());
       ++it;
@@ -135,13 +140,22 @@
   }
   // Connections are opened before the first statement needs them.
   for (const auto& [id, record] : directory_.endpoints) {
-    if (record.gone || record.leaving) continue;
-    std::vector<RelayRecord> holders = HoldersFor(directory_, record);
-    bool mine = !holders.empty() && holders.front().vm == parts_.vm;
-    if (mine && !draining_) PoolOf(id, record.group, record.address)->Warm();
+    if (record.gone || record.leaving || draining_) continue;
+    if (SharersWith(id) == 0) continue;
+    PoolOf(id, record.group, record.address)->Warm();
   }
 }
 
+size_t Relay::SharersWith(const EndpointId& endpoint) const {
+  auto holders = holders_.find(endpoint);
+  if (holders == holders_.end()) return 0;
+  const std::vector<RelayRecord>& active = holders->second.active;
+  bool mine = std::any_of(
+      active.begin(), active.end(),
+      [this](const RelayRecord& relay) { return relay.vm == parts_.vm; });
+  return mine ? active.size() : 0;
+}
+
 void Relay::OnLayout(std::shared_ptr<const Layout> layout) {
   layout_ = std::move(layout);
   for (const auto& [id, pool] : pools_) SetPoolBounds(id, pool.get());
@@ -181,18 +195,23 @@
   auto record = directory_.endpoints.find(endpoint);
   if (record != directory_.endpoints.end()) {
     const EndpointRecord& known = record->second;
-    bounds.slots = std::max<uint32_t>(1, known.slots);
+    // A VM that steps in for another one uses that one's part.
+    size_t sharers = std::max<size_t>(
+        1, (known.slots + kSlotsPerHolder - 1) / kSlotsPerHolder);
+    bounds.slots =
+        std::max<uint32_t>(1, known.slots / static_cast<uint32_t>(sharers));
     bounds.leaving = known.leaving;
     auto lead = directory_.leads.find(known.group);
-    bounds.leads = lead != directory_.leads.end() &&
-                   lead->second.endpoint == endpoint;
+    bounds.leads =
+        lead != directory_.leads.end() && lead->second.endpoint == endpoint;
     uint32_t allowed = bounds.slots + 1;
     if (layout_) {
       auto group = layout_->groups.find(known.group);
       if (group != layout_->groups.end()) allowed = group->second.connections;
     }
-    bounds.connections =
-        std::max<uint32_t>(bounds.slots + 1, allowed * kHolderShare);
+    double share = kHolderShare / static_cast<double>(sharers);
+    bounds.connections = std::max<uint32_t>(
+        bounds.slots + 1, static_cast<uint32_t>(allowed * share));
   }
   pool->SetBounds(bounds);
 }
@@ -209,28 +228,52 @@
 std::optional<Target> Relay::HolderOf(const EndpointRecord& endpoint) const {
   Target target{endpoint, Address(), false};
   auto lead = directory_.leads.find(endpoint.group);
-  target.leads = lead != directory_.leads.end() &&
-                 lead->second.endpoint == endpoint.id;
-  for (const RelayRecord& holder : HoldersFor(directory_, endpoint)) {
-    target.holder =
-        holder.vm == parts_.vm ? Address() : holder.address;
-    bool avoided = Avoided(endpoint.id, target.holder) ||
-                   (target.holder.port != 0 && mesh_->Avoided(target.holder));
-    if (!avoided) return target;
+  target.leads =
+      lead != directory_.leads.end() && lead->second.endpoint == endpoint.id;
+  auto found = holders_.find(endpoint.id);
+  if (found != holders_.end()) {
+    const Holders& holders = found->second;
+    size_t count = holders.active.size();
+    size_t begin = std::hash<std::string>()(parts_.vm.value());
+    for (size_t i = 0; i < count + holders.reserve.size(); ++i) {
+      const RelayRecord& holder = i < count
+                                      ? holders.active[(begin + i) % count]
+                                      : holders.reserve[i - count];
+      target.holder = holder.vm == parts_.vm ? Address() : holder.address;
+      if (Usable(endpoint.id, target.holder)) return target;
+    }
   }
   target.holder = Address();
-  if (Avoided(endpoint.id, target.holder)) return std::nullopt;
+  if (!Usable(endpoint.id, target.holder)) return std::nullopt;
   return target;
 }
 
+bool Relay::Usable(const EndpointId& endpoint, const Address& holder) const {
+  if (Avoided(endpoint, holder)) return false;
+  return holder.port == 0 || !mesh_->Avoided(holder);
+}
+
+/// A replica that lags is passed over for longer each time.
+void Relay::NoteLag(const EndpointId& endpoint, bool lagging) {
+  if (!lagging) {
+    lagging_.erase(endpoint);
+    return;
+  }
+  Lag& lag = lagging_[endpoint];
+  Time now = Now();
+  if (now < lag.until) return;
+  lag.pause = std::clamp(lag.pause * 2, kLagPauseMin, kLagPauseMax);
+  lag.until = now + lag.pause;
+}
+
 std::optional<Target> Relay::LeaderOf(const GroupId& group) const {
   const EndpointRecord* lead = LeadOf(directory_, group);
   if (lead == nullptr) return std::nullopt;
   return HolderOf(*lead);
 }
 
-std::optional<Target> Relay::ReaderOf(
-    const GroupId& group, const std::set<EndpointId>& tried) const {
+std::optional<Target> Relay::ReaderOf(const GroupId& group,
+                                      const std::set<EndpointId>& tried) const {
   const EndpointRecord* lead = LeadOf(directory_, group);
   std::optional<Target> best;
   uint64_t best_cost = 0;
@@ -238,6 +281,8 @@
   for (const EndpointRecord& member : MembersOf(directory_, group)) {
     bool leads = lead != nullptr && member.id == lead->id;
     if (leads || member.leaving || tried.contains(member.id)) continue;
+    auto lag = lagging_.find(member.id);
+    if (lag != lagging_.end() && now < lag->second.until) continue;
     std::optional<Target> target = HolderOf(member);
     if (!target) continue;
     uint64_t cost = member.zone == parts_.zone ? 0 : kOtherZoneCost;
@@ -266,6 +311,9 @@
                    answer.outcome == Outcome::kMisrouted ||
                    answer.outcome == Outcome::kTooMany;
       if (avoid) self->Avoid(endpoint, holder);
+      bool lagging = answer.outcome == Outcome::kLagging;
+      if (lagging || answer.outcome == Outcome::kDone)
+        self->NoteLag(endpoint, lagging);
     }
     done(std::move(answer));
   };
@@ -321,13 +369,7 @@
   std::erase_if(avoid_until_,
                 [now](const auto& item) { return item.second <= now; });
   for (auto it = pools_.begin(); it != pools_.end();) {
-    auto record = directory_.endpoints.find(it->first);
-    bool mine = false;
-    if (record != directory_.endpoints.end()) {
-      std::vector<RelayRecord> holders = HoldersFor(directory_, record->second);
-      mine = !holders.empty() && holders.front().vm == parts_.vm;
-    }
-    bool unused = !mine && it->second->Idle() &&
+    bool unused = SharersWith(it->first) == 0 && it->second->Idle() &&
                   now - it->second->last_used() > kPoolIdle;
     if (!unused) {
       ++it;
