--- a/fleet/include/cardamomchute/fleet/steward.h
+++ b/fleet/include/cardamomchute/fleet/steward.h
@@ -93,6 +93,8 @@
   void PushLayout();
   void Flush();
   void SendFarewells();
+  void LoadDirectory();
+  void SaveDirectory(Time now);
   DirectoryPush BarePush() const;
   LayoutAnswer Elsewhere() const;
 
@@ -115,6 +117,9 @@
   DirectoryDelta to_members_;
   std::map<GroupId, std::shared_ptr<SuccessionRun>> successions_;
   std::map<GroupId, Time> next_review_;
+  std::map<GroupId, Time> lead_set_;
+  Time next_cache_;
+  bool cache_due_ = false;
   uint64_t changes_ = 0;  ///< of leads in this reign
   uint64_t tokens_ = 0;   ///< given out in this reign
   Time next_flush_;
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -10,9 +10,9 @@
 namespace cardamomchute {
 namespace {
 
-constexpr Duration kTick = Millis(200);
+constexpr Duration kTick = Millis(100);
 constexpr Duration kReportInterval = Seconds(2);
-constexpr Duration kDialInterval = Millis(200);
+constexpr Duration kDialInterval = Millis(100);
 constexpr Duration kDialTimeout = Millis(600);
 constexpr LinkTiming kTiming = {Millis(400), Millis(1600)};
 
@@ -26,9 +26,7 @@
 }  // namespace
 
 ControlLink::ControlLink(ControlLinkParts parts)
-    : parts_(std::move(parts)),
-      timer_(*parts_.io),
-      run_ms_(WallClockMs()) {
+    : parts_(std::move(parts)), timer_(*parts_.io), run_ms_(WallClockMs()) {
   // Relays spread over the members, each beginning at another one.
   next_member_ = std::hash<std::string>()(parts_.vm.value());
 }
@@ -77,7 +75,8 @@
   if (!link) return;
   if (stopped_) return link->Close();
   link_ = link;
-  LogLine(LogLevel::kInfo, "control_link_up").Field("member", ToString(address));
+  LogLine(LogLevel::kInfo, "control_link_up")
+      .Field("member", ToString(address));
   std::weak_ptr<ControlLink> weak = weak_from_this();
   link->Start(
       [weak](FrameType type, std::string_view body) {
@@ -132,9 +131,8 @@
 void ControlLink::Report(const GroupId& group, const EndpointId& endpoint,
                          Trouble trouble) {
   if (!link_) return;
-  link_->Send(FrameType::kControl,
-              PackVariant(FleetMessage(
-                  TroubleReport{group, endpoint, trouble, parts_.vm})));
+  link_->Send(FrameType::kControl, PackVariant(FleetMessage(TroubleReport{
+                                       group, endpoint, trouble, parts_.vm})));
 }
 
 void ControlLink::Stop() {
--- a/fleet/src/steward.cc
+++ b/fleet/src/steward.cc
@@ -5,6 +5,7 @@
 
 #include "cardamomchute/base/log.h"
 #include "cardamomchute/base/pack.h"
+#include "cardamomchute/peers/record_file.h"
 
 namespace cardamomchute {
 namespace {
@@ -14,6 +15,12 @@
 constexpr Duration kFlushInterval = Millis(40);
 /// A silent voter is let go this long after a newer one has joined.
 constexpr Duration kReplaceAfter = Seconds(6);
+/// Shorter than the usual: relays without a leader learn of nothing.
+constexpr QuorumTiming kTiming = {Millis(80), Millis(300), Millis(600),
+                                  Seconds(2)};
+/// Between two copies of the directory on disk.
+constexpr Duration kCacheInterval = Seconds(3);
+constexpr char kCacheFile[] = "directory";
 constexpr uint64_t kSnapshotAfter = 200;
 constexpr uint64_t kSnapshotBytes = 4 * 1024 * 1024;
 
@@ -46,10 +53,12 @@
   settings.snapshot_after = kSnapshotAfter;
   settings.snapshot_bytes = kSnapshotBytes;
   settings.may_found = parts_.may_found;
+  settings.timing = kTiming;
   settings.tick = kTick;
   settings.replace_after = kReplaceAfter;
   BOOST_OUTCOME_TRY(host, QuorumHost::Open(*parts_.io, std::move(settings)));
   host_ = host;
+  LoadDirectory();
   host_->Start(ToSeeds(parts_.seeds), Hooks());
   return Ok();
 }
@@ -164,7 +173,9 @@
       .Field("held", layout_.version)
       .Field("routes", read.value().routes.size());
   if (version <= layout_.version) {
-    rounds_.Add({[done] { done({CallOutcome::kDone, "", ""}); },
+    rounds_.Add({[done] {
+                   done({CallOutcome::kDone, "", ""});
+                 },
                  [done] { done({}); }});
     return;
   }
@@ -217,8 +228,7 @@
 void Steward::OnRelayReport(const LinkPtr& link, const RelayReport& report) {
   bool first = !relays_.contains(link.get());
   if (first && !host_->InTouch(Now())) {
-    link->Send(FrameType::kControl,
-               PackMessage(Farewell{BarePush().members}));
+    link->Send(FrameType::kControl, PackMessage(Farewell{BarePush().members}));
     return;
   }
   relays_[link.get()] = RelayLink{link, report.relay.vm};
@@ -235,11 +245,11 @@
   auto append = [](DirectoryDelta* to, const DirectoryDelta& from) {
     to->endpoints.insert(to->endpoints.end(), from.endpoints.begin(),
                          from.endpoints.end());
-    to->relays.insert(to->relays.end(), from.relays.begin(),
-                      from.relays.end());
+    to->relays.insert(to->relays.end(), from.relays.begin(), from.relays.end());
     for (const auto& [group, lead] : from.leads) to->leads[group] = lead;
   };
   append(&to_relays_, changed);
+  if (!changed.Empty()) cache_due_ = true;
   if (!from_member) append(&to_members_, delta);
   for (const EndpointRecord& record : changed.endpoints) {
     LogLine(LogLevel::kInfo, "endpoint")
@@ -335,6 +345,37 @@
   if (now < next_flush_) return;
   next_flush_ = now + kFlushInterval;
   Flush();
+  SaveDirectory(now);
+}
+
+/// What was announced before a restart is worth knowing until endpoints
+/// announce themselves again: a wrong address or lead is refused by whoever
+/// is there.
+void Steward::LoadDirectory() {
+  std::optional<std::string> bytes =
+      ReadRecordFile(parts_.data_folder / kCacheFile);
+  if (!bytes) return;
+  Result<DirectoryDelta> delta = Unpack<DirectoryDelta>(*bytes);
+  if (!delta) {
+    LogLine(LogLevel::kWarn, "directory_copy_refused")
+        .Field("error", ToString(delta.error()));
+    return;
+  }
+  Merge(directory_, delta.value(), Now());
+}
+
+void Steward::SaveDirectory(Time now) {
+  // The leader waits for no disk that it need not wait for.
+  if (!cache_due_ || now < next_cache_ || host_->leading()) return;
+  cache_due_ = false;
+  next_cache_ = now + kCacheInterval;
+  DirectoryDelta kept = Whole(directory_);
+  // Relays report themselves as soon as they are back.
+  kept.relays.clear();
+  Status saved = WriteRecordFile(parts_.data_folder / kCacheFile, Pack(kept));
+  if (saved) return;
+  LogLine(LogLevel::kWarn, "directory_copy_failed")
+      .Field("error", ToString(saved.error()));
 }
 
 }  // namespace cardamomchute
--- a/fleet/src/steward_leads.cc
+++ b/fleet/src/steward_leads.cc
@@ -11,8 +11,11 @@
 /// An endpoint that has not announced itself for this long, and that nobody
 /// reaches, has taken its log with it.
 constexpr Duration kLostForGood = Seconds(15);
-/// Between two looks at the same group for the same reason.
-constexpr Duration kReviewPause = Millis(400);
+/// Between two looks at the same group.
+constexpr Duration kReviewPause = Millis(300);
+/// A claim to lead counts while its endpoint still announces itself.
+constexpr Duration kClaimValid = Millis(2500);
+constexpr Duration kContradictionPause = Seconds(2);
 /// Tokens of one reign are below those of the next.
 constexpr uint64_t kTokensPerReign = 1 << 20;
 
@@ -48,7 +51,10 @@
   std::vector<EndpointRecord> members = MembersOf(directory_, group);
   std::vector<EndpointRecord> claimants;
   for (const EndpointRecord& member : members) {
-    if (member.claims_lead) claimants.push_back(member);
+    auto heard = directory_.endpoint_heard.find(member.id);
+    bool fresh = heard != directory_.endpoint_heard.end() &&
+                 now - heard->second < kClaimValid;
+    if (member.claims_lead && fresh) claimants.push_back(member);
   }
   const EndpointRecord* lead = LeadOf(directory_, group);
   auto known = directory_.leads.find(group);
@@ -58,8 +64,12 @@
   if (never_known && claimants.empty()) return;
   if (now < next_review_[group]) return;
   bool contradicted =
-      lead == nullptr || claimants.size() != 1 ||
-      claimants.front().id != lead->id;
+      lead == nullptr ||
+      std::any_of(claimants.begin(), claimants.end(),
+                  [lead](const EndpointRecord& claimant) {
+                    return claimant.id != lead->id;
+                  }) ||
+      (!lead->claims_lead && now >= lead_set_[group] + kContradictionPause);
   if (lead != nullptr && lead->leaving) {
     bool can_follow = std::any_of(
         members.begin(), members.end(), [lead](const EndpointRecord& member) {
@@ -82,7 +92,8 @@
   const EndpointRecord* lead = LeadOf(directory_, report.group);
   bool of_lead = lead != nullptr && lead->id == report.endpoint;
   if (!of_lead || successions_.contains(report.group)) return;
-  if (Now() < next_review_[report.group]) return;
+  bool just_set = Now() - lead_set_[report.group] < kReviewPause;
+  if (just_set) return;
   LogLine(LogLevel::kInfo, "lead_trouble")
       .Field("group", report.group)
       .Field("endpoint", report.endpoint)
@@ -105,6 +116,7 @@
   lead.reign = host_->quorum().vote.term.value();
   lead.change = ++changes_;
   lead.term = term;
+  lead_set_[group] = Now();
   LogLine(LogLevel::kInfo, "lead_set")
       .Field("group", group)
       .Field("endpoint", endpoint)
@@ -137,8 +149,9 @@
   parts.adopt = [this, group](const EndpointId& endpoint, Term term) {
     SetLead(group, endpoint, term);
   };
-  parts.done = [this, group] {
-    next_review_[group] = Now() + kReviewPause;
+  parts.done = [this, group, cause] {
+    bool review = cause == SuccessionCause::kReview;
+    next_review_[group] = Now() + (review ? kContradictionPause : kReviewPause);
     successions_.erase(group);
   };
   std::shared_ptr<SuccessionRun> run =
--- a/fleet/src/succession_run.cc
+++ b/fleet/src/succession_run.cc
@@ -12,7 +12,7 @@
 /// For the answers of all endpoints to one question.
 constexpr Duration kAskTimeout = Millis(500);
 /// A dead or silent lead is not waited for as long as the others.
-constexpr Duration kAskLeadTimeout = Millis(250);
+constexpr Duration kAskLeadTimeout = Millis(200);
 constexpr Duration kBusyPause = Millis(15);
 constexpr Duration kPollPause = Millis(30);
 constexpr Duration kLookAgain = Millis(100);
@@ -90,8 +90,7 @@
   if (asked.empty()) return gathering->done({});
   std::shared_ptr<SuccessionRun> self = shared_from_this();
   for (const EndpointRecord& member : asked) {
-    Duration timeout =
-        member.id == parts_.lead ? kAskLeadTimeout : kAskTimeout;
+    Duration timeout = member.id == parts_.lead ? kAskLeadTimeout : kAskTimeout;
     Ask(member, {.kind = kind, .term = term}, Now() + timeout,
         [self, gathering](MemberAnswer answer) {
           gathering->answers.push_back(std::move(answer));
@@ -113,32 +112,31 @@
   connections_[endpoint.id] = connection;
   std::shared_ptr<SuccessionRun> self = shared_from_this();
   Duration left = std::max(until - Now(), Millis(1));
-  connection->Open(
-      endpoint.address, parts_.group, endpoint.id, left,
-      [self, connection, endpoint, command, until,
-       done = std::move(done)](Outcome outcome) {
-        if (self->stopped_) return;
-        if (outcome == Outcome::kDone)
-          return self->SendOn(connection, endpoint, command, until, done);
-        LogLine(LogLevel::kInfo, "succession_unreachable")
-            .Field("endpoint", endpoint.id)
-            .Field("outcome", ToString(outcome));
-        done(MemberAnswer{.endpoint = endpoint});
-      });
+  connection->Open(endpoint.address, parts_.group, endpoint.id, left,
+                   [self, connection, endpoint, command, until,
+                    done = std::move(done)](Outcome outcome) {
+                     if (self->stopped_) return;
+                     if (outcome == Outcome::kDone)
+                       return self->SendOn(connection, endpoint, command, until,
+                                           done);
+                     LogLine(LogLevel::kInfo, "succession_unreachable")
+                         .Field("endpoint", endpoint.id)
+                         .Field("outcome", ToString(outcome));
+                     done(MemberAnswer{.endpoint = endpoint});
+                   });
 }
 
-void SuccessionRun::SendOn(
-    const std::shared_ptr<CommandConnection>& connection,
-    const EndpointRecord& endpoint, const EndpointCommand& command, Time until,
-    std::function<void(MemberAnswer)> done) {
+void SuccessionRun::SendOn(const std::shared_ptr<CommandConnection>& connection,
+                           const EndpointRecord& endpoint,
+                           const EndpointCommand& command, Time until,
+                           std::function<void(MemberAnswer)> done) {
   struct Pending {
     explicit Pending(const boost::asio::any_io_executor& executor)
         : timer(executor) {}
     boost::asio::steady_timer timer;
     std::function<void(MemberAnswer)> done;
   };
-  std::shared_ptr<Pending> pending =
-      std::make_shared<Pending>(parts_.executor);
+  std::shared_ptr<Pending> pending = std::make_shared<Pending>(parts_.executor);
   pending->done = std::move(done);
   auto finish = [pending](MemberAnswer answer) {
     if (!pending->done) return;
--- a/peers/src/log_store.cc
+++ b/peers/src/log_store.cc
@@ -6,10 +6,11 @@
 
 #include <cerrno>
 #include <cstring>
-#include <fstream>
 #include <random>
 #include <sstream>
 
+#include "cardamomchute/peers/record_file.h"
+#include "file_io.h"
 #include "record.h"
 
 namespace cardamomchute {
@@ -22,7 +23,6 @@
 constexpr char kVoteFile[] = "vote";
 constexpr char kSnapshotFile[] = "snapshot";
 constexpr char kLogFile[] = "log";
-constexpr int kFileMode = 0640;
 
 struct Identity {
   VmId vm;
@@ -37,42 +37,6 @@
   return text.str();
 }
 
-bool WriteAll(int fd, std::string_view bytes) {
-  while (!bytes.empty()) {
-    ssize_t count = ::write(fd, bytes.data(), bytes.size());
-    if (count < 0 && errno == EINTR) continue;
-    if (count < 0) return false;
-    bytes.remove_prefix(static_cast<size_t>(count));
-  }
-  return true;
-}
-
-bool SyncFolder(const fs::path& folder) {
-  int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (fd < 0) return false;
-  bool synced = ::fsync(fd) == 0;
-  ::close(fd);
-  return synced;
-}
-
-bool WriteSynced(const fs::path& path, std::string_view bytes) {
-  int fd =
-      ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
-  if (fd < 0) return false;
-  bool synced = WriteAll(fd, bytes) && ::fsync(fd) == 0;
-  ::close(fd);
-  return synced;
-}
-
-/// Nothing if the file cannot be read.
-std::optional<std::string> ReadAll(const fs::path& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) return std::nullopt;
-  std::ostringstream text;
-  text << in.rdbuf();
-  return std::move(text).str();
-}
-
 MemberId MakeMemberId(const Identity& identity) {
   return MemberId(identity.vm.value() + "#" + identity.incarnation);
 }
@@ -166,27 +130,17 @@
 }
 
 Result<std::string> LogStore::ReadFile(const std::string& name) const {
-  std::optional<std::string> bytes = ReadAll(folder_ / name);
-  if (!bytes) return Corrupt(name, 0);
-  std::optional<std::string_view> payload = DecodeRecord(*bytes);
+  std::optional<std::string> payload = ReadRecordFile(folder_ / name);
   if (!payload) return Corrupt(name, 0);
-  return std::string(*payload);
+  return std::move(*payload);
 }
 
 Status LogStore::ReplaceFile(const std::string& name,
                              std::string_view payload) {
   if (failed_) return Io("write after a failure");
-  fs::path temporary = folder_ / (name + ".tmp");
-  std::error_code error;
-  failed_ = true;
-  if (!WriteSynced(temporary, EncodeRecord(payload))) {
-    return Io("write " + name);
-  }
-  fs::rename(temporary, folder_ / name, error);
-  if (error) return Io("rename " + name);
-  if (!SyncFolder(folder_)) return Io("sync folder");
-  failed_ = false;
-  return Ok();
+  Status written = WriteRecordFile(folder_ / name, payload);
+  failed_ = !written;
+  return written;
 }
 
 Status LogStore::LoadLog() {
--- a/peers/src/member_links.cc
+++ b/peers/src/member_links.cc
@@ -5,7 +5,7 @@
 namespace cardamomchute {
 namespace {
 
-constexpr Duration kDialInterval = Millis(200);
+constexpr Duration kDialInterval = Millis(100);
 constexpr Duration kDialTimeout = Millis(800);
 constexpr Duration kGreetingInterval = Millis(500);
 
--- /dev/null
+++ b/peers/src/record_file.cc
@@ -0,0 +1,43 @@
+#include "cardamomchute/peers/record_file.h"
+
+#include <cerrno>
+#include <cstring>
+
+#include "file_io.h"
+#include "record.h"
+
+namespace cardamomchute {
+namespace {
+
+namespace fs = std::filesystem;
+
+Error Io(const fs::path& path, const std::string& what) {
+  return Error{ErrorKind::kIo,
+               what + " " + path.string() + ": " + std::strerror(errno),
+               "check the data folder's disk, space and rights; the member "
+               "must restart"};
+}
+
+}  // namespace
+
+std::optional<std::string> ReadRecordFile(const fs::path& path) {
+  std::optional<std::string> bytes = ReadAll(path);
+  if (!bytes) return std::nullopt;
+  std::optional<std::string_view> payload = DecodeRecord(*bytes);
+  if (!payload) return std::nullopt;
+  return std::string(*payload);
+}
+
+Status WriteRecordFile(const fs::path& path, std::string_view payload) {
+  fs::path temporary = path;
+  temporary += ".tmp";
+  if (!WriteSynced(temporary, EncodeRecord(payload)))
+    return Io(path, "cannot write");
+  std::error_code error;
+  fs::rename(temporary, path, error);
+  if (error) return Io(path, "cannot rename to");
+  if (!SyncFolder(path.parent_path())) return Io(path, "cannot sync folder of");
+  return Ok();
+}
+
+}  // namespace cardamomchute
--- a/policy/include/cardamomchute/policy/queue.h
+++ b/policy/include/cardamomchute/policy/queue.h
@@ -26,10 +26,11 @@
 /// What a statement waits for.
 enum class Lane : uint8_t {
   kPrimary = 0,  ///< a slot of the primary
-  kAny = 1       ///< a slot of any member that is fresh enough
+  kAny = 1,      ///< a slot of any member that is fresh enough
+  kLate = 2      ///< past its target: after all others of its rank
 };
 
-inline constexpr size_t kLanes = 2;
+inline constexpr size_t kLanes = 3;
 
 struct QueueItem {
   uint64_t id = 0;
@@ -99,8 +100,8 @@
       const std::function<bool(const QueueItem&)>& wanted);
 
   std::vector<RankLines> ranks_;
-  std::array<size_t, kLanes> capacity_{1, 1};
-  std::array<double, kLanes> service_ms_{0, 0};
+  std::array<size_t, kLanes> capacity_{1, 1, 1};
+  std::array<double, kLanes> service_ms_{0, 0, 0};
   Time earned_at_;
   size_t size_ = 0;
 };
--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -87,8 +87,10 @@
     RunRequest request;
     SessionKey key;
     RunDone done;
+    Time target;
     Time hold_until;
     Time deadline;
+    bool late = false;  ///< waits behind those that can still be in time
     std::optional<Floor> at_least;
     bool fenced = false;
   };
@@ -98,10 +100,10 @@
     bool busy = false;  ///< answers are due
     std::optional<SessionKey> pinned;
     uint64_t run = 0;
-    bool wrote = false;           ///< the pinned transaction may have written
-    bool abandoned = false;       ///< roll back once the job has ended
-    std::unique_ptr<Job> job;     ///< under way
-    bool sent = false;            ///< the job's own statement has been sent
+    bool wrote = false;        ///< the pinned transaction may have written
+    bool abandoned = false;    ///< roll back once the job has ended
+    std::unique_ptr<Job> job;  ///< under way
+    bool sent = false;         ///< the job's own statement has been sent
     Time sent_at;
     std::optional<Time> verify_until;  ///< must answer by then
     std::map<std::string, std::string> values;
@@ -140,6 +142,10 @@
   void ScheduleTick();
   void Tick();
   void ExpireWaiting(Time now);
+  void MoveLate(Time now);
+  /// Whether the endpoint answers nothing, as far as is known here.
+  bool Down(Time now) const;
+  void NoteDown(Time now);
   void ExpireRunning(Time now);
   void VerifyIdle(Time now);
   void WatchForTrouble(Time now);
@@ -156,6 +162,7 @@
   size_t running_ = 0;
   Time next_connect_;
   Duration connect_pause_;
+  bool connect_failed_ = false;  ///< the last attempt did
   RankQueue queue_;
   uint64_t next_job_ = 0;
   std::map<uint64_t, std::unique_ptr<Job>> jobs_;  ///< waiting, by queue item
--- a/relay/include/cardamomchute/relay/run.h
+++ b/relay/include/cardamomchute/relay/run.h
@@ -39,6 +39,7 @@
   /// All that is older must be seen; used unless `at_leader`.
   Duration max_staleness;
   Rank rank;
+  Duration target;   ///< what ends within this is in time
   Duration hold;     ///< may wait this long before it is sent
   Duration timeout;  ///< may take this long in all
   std::map<std::string, std::string> values;
@@ -47,7 +48,7 @@
   std::string text;
 
   MSGPACK_DEFINE(number, session, run, endpoint, group, address, step, writes,
-                 read_only, at_leader, floor, max_staleness, rank, hold,
+                 read_only, at_leader, floor, max_staleness, rank, target, hold,
                  timeout, values, prepared, id, text)
 };
 
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -47,6 +47,7 @@
   if (bounds_.leads != bounds.leads) proof_.reset();
   bounds_ = bounds;
   queue_.SetCapacity(Lane::kPrimary, bounds_.slots);
+  queue_.SetCapacity(Lane::kLate, bounds_.slots);
   if (!lost_lead) return;
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const RunRequest& request = it->second->request;
@@ -77,6 +78,7 @@
   Time now = Now();
   last_used_ = now;
   std::unique_ptr<Job> job = std::make_unique<Job>();
+  job->target = now + request.target;
   job->hold_until = now + request.hold;
   job->deadline = now + request.timeout;
   job->request = std::move(request);
@@ -84,9 +86,13 @@
   job->done = std::move(done);
   if (closed_)
     return Refuse(std::move(job), Outcome::kUnreachable, "pool closed");
-  bool needs_floor = !InTransaction(job->request.step);
-  if (needs_floor && !PlanFloor(job.get(), now))
-    return ParkForFloor(std::move(job));
+  bool begins = !InTransaction(job->request.step);
+  if (begins && Down(now)) {
+    ScheduleTick();
+    return Refuse(std::move(job), Outcome::kUnreachable,
+                  "the endpoint does not answer");
+  }
+  if (begins && !PlanFloor(job.get(), now)) return ParkForFloor(std::move(job));
   Enqueue(std::move(job));
   Dispatch();
 }
@@ -101,8 +107,8 @@
     job->fenced = true;
     return true;
   }
-  std::optional<Floor> floor = history_.FirstSince(
-      now - request.max_staleness + kStalenessMargin);
+  std::optional<Floor> floor =
+      history_.FirstSince(now - request.max_staleness + kStalenessMargin);
   if (!floor) {
     job->fenced = bounds_.leads;
     return bounds_.leads;
@@ -132,8 +138,7 @@
     if (answer && answer->at)
       self->history_.Add({asked - answer->age, *answer->at});
     Time now = Now();
-    std::vector<std::unique_ptr<Job>> parked =
-        std::exchange(self->parked_, {});
+    std::vector<std::unique_ptr<Job>> parked = std::exchange(self->parked_, {});
     for (std::unique_ptr<Job>& job : parked) {
       if (self->PlanFloor(job.get(), now)) {
         self->Enqueue(std::move(job));
@@ -151,6 +156,7 @@
   QueueItem item;
   item.id = id;
   item.rank = job->request.rank;
+  item.lane = job->late ? Lane::kLate : Lane::kPrimary;
   item.session =
       job->key.relay.value() + "/" + std::to_string(job->key.session);
   item.arrived = Now();
@@ -207,8 +213,8 @@
 
 void EndpointPool::Dispatch() {
   while (!closed_ && running_ < bounds_.slots && queue_.size() > 0) {
-    std::optional<QueueItem> item =
-        queue_.Next(Now(), {true, false}, [this](const QueueItem& candidate) {
+    std::optional<QueueItem> item = queue_.Next(
+        Now(), {true, false, true}, [this](const QueueItem& candidate) {
           return CanRun(*jobs_.at(candidate.id));
         });
     if (!item) break;
@@ -308,6 +314,7 @@
   if (closed_) return;
   if (outcome == Outcome::kDone) {
     connect_pause_ = kConnectPauseMin;
+    connect_failed_ = false;
     last_read_ = now;
     held->ready = true;
     std::weak_ptr<EndpointPool> weak = weak_from_this();
@@ -320,6 +327,9 @@
     return Dispatch();
   }
   Drop(held);
+  // An endpoint that is full is there.
+  connect_failed_ = outcome != Outcome::kTooMany;
+  ScheduleTick();
   next_connect_ = now + connect_pause_;
   connect_pause_ = std::min(connect_pause_ * 2, kConnectPauseMax);
   LogLine(LogLevel::kInfo, "endpoint_connect_failed")
@@ -332,9 +342,9 @@
   bool none_left = std::none_of(held_.begin(), held_.end(),
                                 [](const HeldPtr& h) { return h->ready; });
   if (outcome == Outcome::kMisrouted || (none_left && connecting_ == 0)) {
-    FailWaiting(outcome == Outcome::kMisrouted ? outcome
-                                               : Outcome::kUnreachable,
-                "cannot connect to the endpoint");
+    FailWaiting(
+        outcome == Outcome::kMisrouted ? outcome : Outcome::kUnreachable,
+        "cannot connect to the endpoint");
   }
 }
 
@@ -360,8 +370,8 @@
       .Field("sent", held->sent);
   std::optional<Outcome> outcome;
   if (job) {
-    outcome = WithoutAnswer(job->request, held->sent, held->wrote,
-                            Outcome::kUnknown);
+    outcome =
+        WithoutAnswer(job->request, held->sent, held->wrote, Outcome::kUnknown);
     --running_;
   }
   Drop(held);
@@ -383,7 +393,7 @@
   for (const HeldPtr& held : all) {
     if (held->job) {
       Outcome outcome = WithoutAnswer(held->job->request, held->sent,
-                                       held->wrote, Outcome::kUnknown);
+                                      held->wrote, Outcome::kUnknown);
       Refuse(std::move(held->job), outcome, "pool closed");
     }
     held->link->Close();
@@ -411,10 +421,10 @@
   const Job& job = *held->job;
   const RunRequest& request = job.request;
   std::vector<EndpointCommand> commands;
-  bool foreign = std::any_of(
-      held->values.begin(), held->values.end(), [&request](const auto& value) {
-        return !request.values.contains(value.first);
-      });
+  bool foreign = std::any_of(held->values.begin(), held->values.end(),
+                             [&request](const auto& value) {
+                               return !request.values.contains(value.first);
+                             });
   if (foreign) {
     commands.push_back({.kind = CommandKind::kReset});
     held->values.clear();
@@ -438,10 +448,10 @@
   if (!opens && !(job.fenced && request.step == RunStep::kSingle))
     return commands;
   bool plain = job.fenced || !request.read_only;
-  commands.push_back(
-      plain ? EndpointCommand{.kind = CommandKind::kBegin}
-            : EndpointCommand{.kind = CommandKind::kBeginReadOnly,
-                              .at_least = job.at_least});
+  commands.push_back(plain
+                         ? EndpointCommand{.kind = CommandKind::kBegin}
+                         : EndpointCommand{.kind = CommandKind::kBeginReadOnly,
+                                           .at_least = job.at_least});
   return commands;
 }
 
@@ -475,10 +485,9 @@
       } else {
         self->Drop(on);
       }
-      Outcome outcome =
-          job->request.step == RunStep::kNext ? Outcome::kAborted
-          : NotRun(answer.outcome)            ? answer.outcome
-                                              : Outcome::kUnreachable;
+      Outcome outcome = job->request.step == RunStep::kNext ? Outcome::kAborted
+                        : NotRun(answer.outcome)            ? answer.outcome
+                                                 : Outcome::kUnreachable;
       self->Refuse(std::move(job), outcome, answer.detail);
       return self->Dispatch();
     }
@@ -529,7 +538,8 @@
   --running_;
   const RunRequest& request = job->request;
   Time now = Now();
-  queue_.Served(request.rank, Lane::kPrimary, now - held->sent_at);
+  queue_.Served(request.rank, job->late ? Lane::kLate : Lane::kPrimary,
+                now - held->sent_at);
   bool done = answer.outcome == Outcome::kDone;
   bool commit = request.step == RunStep::kCommit;
   bool plain_run = job->fenced || (held->pinned && held->wrote);
@@ -584,20 +594,20 @@
   ScheduleTick();
   std::weak_ptr<EndpointPool> weak = weak_from_this();
   std::weak_ptr<Held> weak_held = held;
-  held->link->Send(
-      {{.kind = CommandKind::kRollback}},
-      [weak, weak_held](const CommandAnswer& answer) {
-        std::shared_ptr<EndpointPool> self = weak.lock();
-        HeldPtr on = weak_held.lock();
-        if (!self || !on) return;
-        self->last_read_ = Now();
-        on->verify_until.reset();
-        on->busy = false;
-        on->abandoned = false;
-        on->wrote = false;
-        if (answer.state != TransactionState::kNone) self->Drop(on);
-        self->Dispatch();
-      });
+  held->link->Send({{.kind = CommandKind::kRollback}},
+                   [weak, weak_held](const CommandAnswer& answer) {
+                     std::shared_ptr<EndpointPool> self = weak.lock();
+                     HeldPtr on = weak_held.lock();
+                     if (!self || !on) return;
+                     self->last_read_ = Now();
+                     on->verify_until.reset();
+                     on->busy = false;
+                     on->abandoned = false;
+                     on->wrote = false;
+                     if (answer.state != TransactionState::kNone)
+                       self->Drop(on);
+                     self->Dispatch();
+                   });
 }
 
 // ---- floors ----------------------------------------------------------------
--- a/relay/src/endpoint_pool_watch.cc
+++ b/relay/src/endpoint_pool_watch.cc
@@ -25,11 +25,14 @@
 void EndpointPool::Tick() {
   Time now = Now();
   ExpireWaiting(now);
+  MoveLate(now);
   ExpireRunning(now);
+  NoteDown(now);
   WatchForTrouble(now);
   ServeFloorWaiters(now, false);
   Dispatch();
-  bool due = !jobs_.empty() || !parked_.empty() || !floor_waiters_.empty() ||
+  bool due = connect_failed_ || !jobs_.empty() || !parked_.empty() ||
+             !floor_waiters_.empty() ||
              std::any_of(held_.begin(), held_.end(),
                          [](const HeldPtr& held) { return held->busy; });
   if (due) ScheduleTick();
@@ -52,6 +55,51 @@
   }
 }
 
+/// What can no longer be in time lets others of its rank go first.
+void EndpointPool::MoveLate(Time now) {
+  std::vector<std::unique_ptr<Job>> late;
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    Job& job = *it->second;
+    bool begins = job.request.step == RunStep::kSingle ||
+                  job.request.step == RunStep::kFirst;
+    if (job.late || !begins || now < job.target) {
+      ++it;
+      continue;
+    }
+    job.late = true;
+    queue_.Remove(it->first);
+    late.push_back(std::move(it->second));
+    it = jobs_.erase(it);
+  }
+  for (std::unique_ptr<Job>& job : late) Enqueue(std::move(job));
+}
+
+bool EndpointPool::Down(Time now) const {
+  bool any_ready = false;
+  bool overdue = false;
+  for (const HeldPtr& held : held_) {
+    if (!held->ready) continue;
+    any_ready = true;
+    if (held->busy && now - held->sent_at > kSilence) overdue = true;
+  }
+  if (!any_ready) return connect_failed_;
+  return overdue && now - last_read_ > kSilence;
+}
+
+/// Nothing waits for an endpoint that does not answer; connecting goes on, as
+/// that shows when it is back.
+void EndpointPool::NoteDown(Time now) {
+  if (!Down(now)) return;
+  if (!jobs_.empty())
+    FailWaiting(Outcome::kUnreachable, "the endpoint does not answer");
+  bool wanted = now - last_used_ < kReconnectFor;
+  if (!wanted) connect_failed_ = false;
+  if (wanted && connecting_ == 0 && now >= next_connect_ &&
+      held_.size() < bounds_.connections) {
+    Connect();
+  }
+}
+
 void EndpointPool::ExpireRunning(Time now) {
   std::vector<HeldPtr> all = held_;
   bool silent = false;
@@ -67,8 +115,8 @@
       Drop(held);
       continue;
     }
-    Outcome outcome = WithoutAnswer(held->job->request, held->sent,
-                                    held->wrote, Outcome::kTimeout);
+    Outcome outcome = WithoutAnswer(held->job->request, held->sent, held->wrote,
+                                    Outcome::kTimeout);
     std::unique_ptr<Job> job = std::move(held->job);
     --running_;
     LogLine(LogLevel::kInfo, "statement_timeout")
--- a/relay/src/pool_timing.h
+++ b/relay/src/pool_timing.h
@@ -17,9 +17,11 @@
 inline constexpr size_t kWarmSpare = 1;
 
 inline constexpr Duration kTick = Millis(50);
-inline constexpr Duration kConnectTimeout = Millis(1000);
+inline constexpr Duration kConnectTimeout = Millis(500);
 inline constexpr Duration kConnectPauseMin = Millis(50);
 inline constexpr Duration kConnectPauseMax = Millis(500);
+/// An endpoint that was not asked for lately is not reconnected to.
+inline constexpr Duration kReconnectFor = Seconds(5);
 /// A connection that answers nothing this long after a probe is closed.
 inline constexpr Duration kVerifyTimeout = Millis(400);
 
@@ -31,7 +33,7 @@
 inline constexpr Duration kFloorAnswerTimeout = Millis(200);
 
 /// No answer of any kind for this long, with some due, is reported.
-inline constexpr Duration kSilence = Millis(400);
+inline constexpr Duration kSilence = Millis(300);
 /// No write ends for this long, with some under way.
 inline constexpr Duration kWriteStall = Millis(700);
 inline constexpr Duration kReportInterval = Millis(200);
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -28,7 +28,8 @@
 /// Connections to an endpoint that one holder may open, of all allowed: two
 /// VMs may hold some at once while holders change.
 constexpr double kHolderShare = 0.85;
-/// A replica that lacked a position is passed over this long.
+/// A replica that lacked a position, or that its holder could not reach, is
+/// passed over this long.
 constexpr Duration kLagPauseMin = Millis(50);
 constexpr Duration kLagPauseMax = Millis(800);
 /// A pool that nobody uses is closed after this long.
@@ -311,7 +312,9 @@
                    answer.outcome == Outcome::kMisrouted ||
                    answer.outcome == Outcome::kTooMany;
       if (avoid) self->Avoid(endpoint, holder);
-      bool lagging = answer.outcome == Outcome::kLagging;
+      // Reads turn to another replica; only the leader has no substitute.
+      bool lagging = answer.outcome == Outcome::kLagging ||
+                     answer.outcome == Outcome::kUnreachable;
       if (lagging || answer.outcome == Outcome::kDone)
         self->NoteLag(endpoint, lagging);
     }
--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -18,13 +18,13 @@
 /// What cannot be sent anywhere is tried again after this long.
 constexpr Duration kRetryPause = Millis(20);
 /// Part of a statement's time that it may wait without having been sent.
-constexpr int64_t kHoldPercent = 50;
+constexpr int64_t kHoldPercent = 35;
 constexpr int kMaxSends = 8;
 
 }  // namespace
 
 RelayedSession::RelayedSession(asio::ip::tcp::socket socket, Relay* relay,
-                             uint64_t number)
+                               uint64_t number)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       relay_(relay),
@@ -56,8 +56,9 @@
 void RelayedSession::Parse() {
   size_t at = 0;
   while (!closed_ && !close_after_write_ && !attempt_) {
-    Result<Decoded<CallerMessage>> decoded = relay_->parts().caller_protocol.decode(
-        std::string_view(in_.data() + at, in_used_ - at));
+    Result<Decoded<CallerMessage>> decoded =
+        relay_->parts().caller_protocol.decode(
+            std::string_view(in_.data() + at, in_used_ - at));
     if (!decoded) {
       LogLine(LogLevel::kInfo, "caller_refused")
           .Field("session", number_)
@@ -149,12 +150,12 @@
 
 void RelayedSession::OnCommit(CallerStatement statement) {
   if (transaction_ == Transaction::kNone)
-    return Answer({.outcome = Outcome::kMalformed,
-                   .detail = "no transaction is open"});
+    return Answer(
+        {.outcome = Outcome::kMalformed, .detail = "no transaction is open"});
   if (transaction_ == Transaction::kFailed) {
     transaction_ = Transaction::kNone;
-    return Answer({.outcome = Outcome::kAborted,
-                   .detail = "the transaction had failed"});
+    return Answer(
+        {.outcome = Outcome::kAborted, .detail = "the transaction had failed"});
   }
   std::string text = statement.text;
   Begin(std::move(statement), false, std::nullopt, std::move(text));
@@ -167,9 +168,9 @@
 }
 
 void RelayedSession::OnPrepare(const CallerStatement& statement) {
-  prepared_[statement.name] = PreparedStatement{
-      SharedName(statement.rest, statement.prepares_write), statement.rest,
-      statement.prepares_write};
+  prepared_[statement.name] =
+      PreparedStatement{SharedName(statement.rest, statement.prepares_write),
+                        statement.rest, statement.prepares_write};
   AnswerDone();
 }
 
@@ -187,8 +188,8 @@
 }
 
 void RelayedSession::Begin(CallerStatement statement, bool writes,
-                          std::optional<PreparedStatement> prepared,
-                          std::string text) {
+                           std::optional<PreparedStatement> prepared,
+                           std::string text) {
   bool settled = transaction_ != Transaction::kNone && route_;
   if (!settled) {
     std::shared_ptr<const Layout> layout = relay_->layout();
@@ -214,9 +215,9 @@
 
 void RelayedSession::TrySend() {
   if (transaction_ == Transaction::kOpen) return Send(*target_);
-  bool replica_will_do =
-      route_->rule != ReadRule::kPrimary && !attempt_->writes &&
-      (transaction_ == Transaction::kNone || read_only_);
+  bool replica_will_do = route_->rule != ReadRule::kPrimary &&
+                         !attempt_->writes &&
+                         (transaction_ == Transaction::kNone || read_only_);
   std::optional<Target> target =
       replica_will_do ? relay_->ReaderOf(route_->group, attempt_->tried)
                       : relay_->LeaderOf(route_->group);
@@ -227,8 +228,8 @@
 
 void RelayedSession::TryLater() {
   Time now = Now();
-  bool over = now + kRetryPause >= attempt_->hold_until ||
-              attempt_->sends >= kMaxSends;
+  bool over =
+      now + kRetryPause >= attempt_->hold_until || attempt_->sends >= kMaxSends;
   if (over) return Fail(attempt_->last.outcome, attempt_->last.detail);
   timer_.expires_after(std::chrono::milliseconds(kRetryPause.ms()));
   std::shared_ptr<RelayedSession> self = shared_from_this();
@@ -256,15 +257,15 @@
   request.run = run_;
   request.writes = attempt_->writes;
   request.read_only = read_only_ && transaction_ != Transaction::kNone;
-  bool plain_transaction =
-      transaction_ != Transaction::kNone && !read_only_;
-  request.at_leader =
-      route_->rule == ReadRule::kPrimary || plain_transaction;
+  bool plain_transaction = transaction_ != Transaction::kNone && !read_only_;
+  request.at_leader = route_->rule == ReadRule::kPrimary || plain_transaction;
   auto floor = floors_.find(route_->group);
   if (route_->rule == ReadRule::kSession && floor != floors_.end())
     request.floor = floor->second;
   request.max_staleness = route_->max_staleness;
   request.rank = route_->rank;
+  request.target =
+      std::max(attempt_->started + route_->target - now, Duration());
   request.hold = std::max(attempt_->hold_until - now, Millis(1));
   if (transaction_ == Transaction::kOpen)
     request.hold = attempt_->deadline - now;
@@ -323,12 +324,12 @@
   TrySend();
 }
 
-void RelayedSession::TakeSuccess(const Target& target, const RunAnswer& answer) {
+void RelayedSession::TakeSuccess(const Target& target,
+                                 const RunAnswer& answer) {
   bool commit = attempt_->statement.kind == CallerVerb::kCommit;
   if (attempt_->writes) wrote_ = true;
-  bool committed = commit ? wrote_
-                          : transaction_ == Transaction::kNone &&
-                                attempt_->writes;
+  bool committed =
+      commit ? wrote_ : transaction_ == Transaction::kNone && attempt_->writes;
   at_ = answer.at;
   if (committed && answer.at) {
     Floor& floor = floors_[route_->group];
@@ -368,7 +369,7 @@
 }
 
 void RelayedSession::LogEnd(const StatementResult& result,
-                           const Target* target) {
+                            const Target* target) {
   LogLevel level =
       result.outcome == Outcome::kDone ? LogLevel::kDebug : LogLevel::kInfo;
   if (!LogEnabled(level)) return;
