Keep the leader's positions at hand where replicas are held

Cause looked for: reads stay on the leader 8 s after a lag's end. Found by a debug run: the replicas still lack the positions (a lag of 60 times outlives its fault by up to 7 s); a pause without samples would ask them for more than they need.

--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -74,6 +74,9 @@
   /// Drops everything of callers at `relay`, whose link is lost.
   void AbandonAll(const VmId& relay);
   void AnswerFloor(std::function<void(FloorAnswer)> done);
+  /// Keeps positions of the leader at hand. Without older ones, the first
+  /// reads after a pause would ask a replica for the very newest.
+  void KeepFloor();
   /// Ends all: what did not run is told so.
   void Close();
 
--- a/relay/src/command_connection.cc
+++ b/relay/src/command_connection.cc
@@ -16,12 +16,12 @@
 }  // namespace
 
 CommandConnection::CommandConnection(asio::any_io_executor executor,
-                                       const EndpointProtocol* protocol)
+                                     const EndpointProtocol* protocol)
     : socket_(executor), timer_(executor), protocol_(protocol) {}
 
 void CommandConnection::Open(const Address& address, const GroupId& group,
-                              const EndpointId& endpoint, Duration timeout,
-                              std::function<void(Outcome)> done) {
+                             const EndpointId& endpoint, Duration timeout,
+                             std::function<void(Outcome)> done) {
   on_open_ = std::move(done);
   protocol_->encode_hello(group, endpoint, &queued_);
   std::shared_ptr<CommandConnection> self = shared_from_this();
@@ -44,9 +44,8 @@
 void CommandConnection::Greet() {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
-  expected_.push_back([this](const CommandAnswer& answer) {
-    FinishOpen(answer.outcome);
-  });
+  expected_.push_back(
+      [this](const CommandAnswer& answer) { FinishOpen(answer.outcome); });
   Write();
   Read();
 }
@@ -61,7 +60,7 @@
 }
 
 void CommandConnection::Send(const std::vector<EndpointCommand>& commands,
-                              OnAnswer on_answer) {
+                             OnAnswer on_answer) {
   if (closed_) return;
   for (const EndpointCommand& command : commands) {
     protocol_->encode(command, &queued_);
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -114,9 +114,7 @@
     return bounds_.leads;
   }
   job->at_least = std::max(*floor, request.floor);
-  std::optional<PositionSample> latest = history_.Latest();
-  bool old = !latest || now - latest->asked > kFloorRefresh;
-  if (old && !bounds_.leads) AskFloor();
+  KeepFloor();
   return true;
 }
 
@@ -151,6 +149,12 @@
   });
 }
 
+void EndpointPool::KeepFloor() {
+  std::optional<PositionSample> latest = history_.Latest();
+  bool old = !latest || Now() - latest->asked > kFloorRefresh;
+  if (old && !bounds_.leads && !bounds_.leaving) AskFloor();
+}
+
 void EndpointPool::Enqueue(std::unique_ptr<Job> job) {
   uint64_t id = ++next_job_;
   QueueItem item;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -31,7 +31,7 @@
 /// A replica that lacked a position, or that its holder could not reach, is
 /// passed over this long.
 constexpr Duration kLagPauseMin = Millis(50);
-constexpr Duration kLagPauseMax = Millis(800);
+constexpr Duration kLagPauseMax = Millis(400);
 /// A pool that nobody uses is closed after this long.
 constexpr Duration kPoolIdle = Seconds(10);
 constexpr int kBacklog = 4096;
@@ -372,7 +372,9 @@
   std::erase_if(avoid_until_,
                 [now](const auto& item) { return item.second <= now; });
   for (auto it = pools_.begin(); it != pools_.end();) {
-    bool unused = SharersWith(it->first) == 0 && it->second->Idle() &&
+    bool holds = SharersWith(it->first) > 0;
+    if (holds) it->second->KeepFloor();
+    bool unused = !holds && it->second->Idle() &&
                   now - it->second->last_used() > kPoolIdle;
     if (!unused) {
       ++it;
--- a/relay/src/relay_mesh.cc
+++ b/relay/src/relay_mesh.cc
@@ -46,10 +46,10 @@
   if (!error)
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   if (error) {
-    return Error{ErrorKind::kIo,
-                 "cannot listen on " + ToString(address) + ": " +
-                     error.message(),
-                 "set listen.peers to a free address of this VM"};
+    return Error{
+        ErrorKind::kIo,
+        "cannot listen on " + ToString(address) + ": " + error.message(),
+        "set listen.peers to a free address of this VM"};
   }
   Accept();
   return Ok();
@@ -155,8 +155,8 @@
   request.text.clear();
   request.values.clear();
   if (peer.outstanding.empty()) peer.waiting_since = Now();
-  peer.outstanding[number] = Outstanding{
-      std::move(request), wrote, peer.link != nullptr, std::move(done)};
+  peer.outstanding[number] = Outstanding{std::move(request), wrote,
+                                         peer.link != nullptr, std::move(done)};
   SendTo(to, &peer, std::move(message));
   ScheduleWatch();
 }
@@ -167,9 +167,8 @@
   peer->second.link->Send(FrameType::kRelay, PackMessage(abandon));
 }
 
-void RelayMesh::AskFloor(
-    const Address& to, FloorQuestion question,
-    std::function<void(std::optional<FloorAnswer>)> done) {
+void RelayMesh::AskFloor(const Address& to, FloorQuestion question,
+                         std::function<void(std::optional<FloorAnswer>)> done) {
   Peer& peer = peers_[to];
   question.number = ++next_number_;
   if (peer.questions.empty() && peer.outstanding.empty())
@@ -261,8 +260,8 @@
   for (auto& [number, item] : lost) {
     RunAnswer answer;
     answer.number = number;
-    answer.outcome = WithoutAnswer(item.request, item.sent, item.wrote,
-                                   Outcome::kUnknown);
+    answer.outcome =
+        WithoutAnswer(item.request, item.sent, item.wrote, Outcome::kUnknown);
     answer.detail = "link to the endpoint's holder lost";
     item.done(std::move(answer));
   }
