Give up dials to VMs without power after 250 ms

Cause: after a full loss of power the first dials of members and relays went to VMs that were not up yet and hung for up to 800 ms.

--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -13,7 +13,7 @@
 constexpr Duration kTick = Millis(100);
 constexpr Duration kReportInterval = Seconds(2);
 constexpr Duration kDialInterval = Millis(100);
-constexpr Duration kDialTimeout = Millis(600);
+constexpr Duration kDialTimeout = Millis(250);
 constexpr LinkTiming kTiming = {Millis(400), Millis(1600)};
 
 uint64_t WallClockMs() {
--- a/peers/include/cardamomchute/peers/quorum_host.h
+++ b/peers/include/cardamomchute/peers/quorum_host.h
@@ -37,6 +37,9 @@
   bool may_found = true;
   /// How often it looks after itself when nothing arrives.
   Duration tick = Millis(20);
+  /// Longest wait for a leader's first word after a start; zero: as long as
+  /// for any other. Nobody stands for election while others hear a leader.
+  Duration first_election;
   /// A voter silent for this long goes once a newer member votes in its
   /// place; zero: never.
   Duration replace_after;
--- a/peers/src/member_links.cc
+++ b/peers/src/member_links.cc
@@ -6,7 +6,8 @@
 namespace {
 
 constexpr Duration kDialInterval = Millis(100);
-constexpr Duration kDialTimeout = Millis(800);
+/// A VM without power leaves a dial unanswered: others are tried soon.
+constexpr Duration kDialTimeout = Millis(250);
 constexpr Duration kGreetingInterval = Millis(500);
 
 }  // namespace
--- a/peers/src/quorum_host.cc
+++ b/peers/src/quorum_host.cc
@@ -75,6 +75,11 @@
     if (seed.id == settings_.vm) settings_.listen = seed.address;
   }
   hooks_.restore(quorum_.snapshot.state);
+  if (settings_.first_election > Duration()) {
+    int64_t half = settings_.first_election.ms() / 2;
+    int64_t spread = static_cast<int64_t>(RandomSeed() % (half + 1));
+    quorum_.election_due = Now() + Millis(half + spread);
+  }
   std::weak_ptr<QuorumHost> weak = weak_from_this();
   links_ = std::make_shared<MemberLinks>(
       io_.get_executor(),
--- a/relay/src/relay_mesh.cc
+++ b/relay/src/relay_mesh.cc
@@ -16,7 +16,7 @@
 /// Links carry no heartbeats worth mentioning while nothing is under way;
 /// with answers due, `Ping` shows much sooner whether the other end lives.
 constexpr LinkTiming kTiming = {Seconds(5), Seconds(15)};
-constexpr Duration kDialTimeout = Millis(400);
+constexpr Duration kDialTimeout = Millis(250);
 constexpr Duration kWatch = Millis(100);
 /// With answers due: silence before a ping, and before the link is given up.
 constexpr Duration kPingAfter = Millis(200);
