--- a/fleet/include/cardamomchute/fleet/steward.h
+++ b/fleet/include/cardamomchute/fleet/steward.h
@@ -80,6 +80,12 @@
     VmId vm;
   };
 
+  struct WaitingRelay {
+    LinkPtr link;
+    RelayReport report;
+    Time until;
+  };
+
   QuorumHooks Hooks();
   void Apply(const LogEntry& entry);
   void Restore(const std::string& bytes);
@@ -88,6 +94,7 @@
   void OnFrame(const LinkPtr& link, std::string_view body);
   void OnRelayReport(const LinkPtr& link, const RelayReport& report);
   void OnTrouble(const TroubleReport& report);
+  void ServeWaiting(Time now, bool in_touch);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
   void SendWhole(const LinkPtr& link, uint64_t known_version);
   void PushLayout();
@@ -113,6 +120,7 @@
   Directory directory_;
   std::map<LogIndex, PendingPut> pending_;
   std::map<Link*, RelayLink> relays_;
+  std::map<Link*, WaitingRelay> waiting_;
   DirectoryDelta to_relays_;
   DirectoryDelta to_members_;
   std::map<GroupId, std::shared_ptr<SuccessionRun>> successions_;
--- a/fleet/src/steward.cc
+++ b/fleet/src/steward.cc
@@ -18,6 +18,9 @@
 /// Shorter than the usual: relays without a leader learn of nothing.
 constexpr QuorumTiming kTiming = {Millis(80), Millis(300), Millis(600),
                                   Seconds(2)};
+constexpr Duration kFirstElection = Millis(200);
+/// A relay that comes while no leader is known waits here this long.
+constexpr Duration kPatience = Millis(600);
 /// Between two copies of the directory on disk.
 constexpr Duration kCacheInterval = Seconds(3);
 constexpr char kCacheFile[] = "directory";
@@ -54,6 +57,7 @@
   settings.snapshot_bytes = kSnapshotBytes;
   settings.may_found = parts_.may_found;
   settings.timing = kTiming;
+  settings.first_election = kFirstElection;
   settings.tick = kTick;
   settings.replace_after = kReplaceAfter;
   BOOST_OUTCOME_TRY(host, QuorumHost::Open(*parts_.io, std::move(settings)));
@@ -69,6 +73,7 @@
   for (const auto& [group, run] : successions_) run->Stop();
   successions_.clear();
   relays_.clear();
+  waiting_.clear();
 }
 
 void Steward::SetSeeds(const std::vector<Address>& seeds) {
@@ -92,6 +97,7 @@
   };
   hooks.on_link_lost = [this](const LinkPtr& link) {
     relays_.erase(link.get());
+    waiting_.erase(link.get());
   };
   hooks.on_member_link = [this](const VmId& vm) {
     DirectoryPush push;
@@ -214,6 +220,7 @@
         .Field("from", link->remote())
         .Field("error", ToString(read.error()));
     relays_.erase(link.get());
+    waiting_.erase(link.get());
     return host_->Drop(link);
   }
   const FleetMessage& message = read.value();
@@ -228,7 +235,8 @@
 void Steward::OnRelayReport(const LinkPtr& link, const RelayReport& report) {
   bool first = !relays_.contains(link.get());
   if (first && !host_->InTouch(Now())) {
-    link->Send(FrameType::kControl, PackMessage(Farewell{BarePush().members}));
+    waiting_.try_emplace(link.get(),
+                         WaitingRelay{link, report, Now() + kPatience});
     return;
   }
   relays_[link.get()] = RelayLink{link, report.relay.vm};
@@ -238,6 +246,24 @@
   if (first) SendWhole(link, report.layout_version);
 }
 
+/// Relays that came while no leader was known.
+void Steward::ServeWaiting(Time now, bool in_touch) {
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (!in_touch && now < it->second.until) {
+      ++it;
+      continue;
+    }
+    WaitingRelay relay = it->second;
+    it = waiting_.erase(it);
+    if (in_touch) {
+      OnRelayReport(relay.link, relay.report);
+      continue;
+    }
+    relay.link->Send(FrameType::kControl,
+                     PackMessage(Farewell{BarePush().members}));
+  }
+}
+
 /// Merges; what is new goes to the relays here, and what came first-hand to
 /// the other members.
 void Steward::TakeDelta(const DirectoryDelta& delta, bool from_member) {
@@ -334,6 +360,7 @@
 void Steward::OnTick(Time now) {
   bool in_touch = host_->InTouch(now);
   if (!in_touch && !out_of_touch_) SendFarewells();
+  ServeWaiting(now, in_touch);
   out_of_touch_ = !in_touch;
   DirectoryDelta expired = Expire(directory_, now);
   to_relays_.relays.insert(to_relays_.relays.end(), expired.relays.begin(),
--- /dev/null
+++ b/fleet/test/steward-test.cc
@@ -0,0 +1,279 @@
+#include "cardamomchute/fleet/steward.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "line_group.h"
+#include "steward_cluster.h"
+
+namespace cardamomchute {
+namespace {
+
+/// A relay's link that keeps what it is told.
+struct Listener {
+  Listener(StewardCluster* cluster, const std::string& vm, size_t member) {
+    ControlLinkParts parts;
+    parts.io = &cluster->io;
+    parts.vm = VmId(vm);
+    parts.zone = Zone("a");
+    parts.peers = Address{"127.0.0.1", 1};
+    parts.on_push = [this](const DirectoryPush& push) {
+      Merge(directory, push.delta, Now());
+      if (!push.layout) return;
+      if (push.layout->version < version) went_back = true;
+      version = push.layout->version;
+    };
+    Address address = cluster->AddressOf(member);
+    parts.seeds = [address] { return std::vector<Address>{address}; };
+    link = std::make_shared<ControlLink>(std::move(parts));
+    link->Start();
+  }
+  ~Listener() { link->Stop(); }
+
+  std::shared_ptr<ControlLink> link;
+  Directory directory;
+  uint64_t version = 0;
+  bool went_back = false;
+};
+
+BOOST_AUTO_TEST_SUITE(steward)
+
+BOOST_AUTO_TEST_CASE(what_is_accepted_is_read_back_and_never_replaced_by_less) {
+  StewardCluster cluster(3);
+  BOOST_TEST((cluster.Put(LayoutText(5, "db5")) == CallOutcome::kDone));
+  BOOST_TEST(cluster.Get().text == LayoutText(5, "db5"));
+  // The same again, an older one, and other content under the same version
+  // are answered alike and change nothing.
+  BOOST_TEST((cluster.Put(LayoutText(5, "db5")) == CallOutcome::kDone));
+  BOOST_TEST((cluster.Put(LayoutText(3, "db3")) == CallOutcome::kDone));
+  BOOST_TEST((cluster.Put(LayoutText(5, "other")) == CallOutcome::kDone));
+  BOOST_TEST(cluster.Get().text == LayoutText(5, "db5"));
+  BOOST_TEST((cluster.Put("{\"version\":9") == CallOutcome::kInvalid));
+  BOOST_TEST(cluster.Get().text == LayoutText(5, "db5"));
+}
+
+BOOST_AUTO_TEST_CASE(followers_send_callers_to_the_leader) {
+  StewardCluster cluster(3);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Leader(); }));
+  size_t follower = (*cluster.Leader() + 1) % 3;
+  std::optional<LayoutAnswer> answer;
+  cluster.RunUntil([&] {
+    cluster.At(follower)->GetLayout(
+        [&](LayoutAnswer a) { answer = std::move(a); });
+    return answer && answer->outcome == CallOutcome::kElsewhere;
+  });
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer->leader == "127.0.0.1");
+}
+
+BOOST_AUTO_TEST_CASE(a_member_alone_is_sure_of_nothing) {
+  StewardCluster cluster(3);
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  size_t leader = *cluster.Leader();
+  for (size_t i = 0; i < 3; ++i) {
+    if (i != leader) cluster.Stop(i);
+  }
+  bool read = false;
+  bool accepted = false;
+  cluster.At(leader)->GetLayout([&](const LayoutAnswer& a) {
+    read = a.outcome == CallOutcome::kDone;
+  });
+  cluster.At(leader)->PutLayout(LayoutText(2, "db"), [&](const LayoutAnswer& a) {
+    accepted = a.outcome == CallOutcome::kDone;
+  });
+  BOOST_TEST(
+      cluster.RunUntil([&] { return !cluster.At(leader)->leading(); }));
+  BOOST_TEST(!read);
+  BOOST_TEST(!accepted);
+  EndpointRecord record;
+  record.id = EndpointId("e");
+  BOOST_TEST(!cluster.At(leader)->Announce(record));
+}
+
+BOOST_AUTO_TEST_CASE(what_was_accepted_outlives_the_loss_of_all_processes) {
+  StewardCluster cluster(3);
+  BOOST_REQUIRE((cluster.Put(LayoutText(7, "db7")) == CallOutcome::kDone));
+  for (size_t i = 0; i < 3; ++i) cluster.Stop(i);
+  for (size_t i = 0; i < 3; ++i) cluster.Start(i, false);
+  BOOST_TEST(cluster.Get().text == LayoutText(7, "db7"));
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_disk_among_a_full_restart_loses_nothing) {
+  StewardCluster cluster(5);
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  // All five vote before one may be lost.
+  cluster.RunUntil([] { return false; }, Seconds(3));
+  BOOST_REQUIRE((cluster.Put(LayoutText(8, "db8")) == CallOutcome::kDone));
+  size_t lost = *cluster.Leader();
+  for (size_t i = 0; i < 5; ++i) cluster.Stop(i);
+  cluster.Wipe(lost);
+  for (size_t i = 0; i < 5; ++i) cluster.Start(i, false);
+  BOOST_TEST(cluster.Get().text == LayoutText(8, "db8"));
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_folder_founds_nothing_without_leave) {
+  StewardCluster cluster(3);
+  BOOST_REQUIRE((cluster.Put(LayoutText(4, "db4")) == CallOutcome::kDone));
+  for (size_t i = 0; i < 3; ++i) cluster.Stop(i);
+  cluster.Wipe(0);
+  cluster.Start(0, false);
+  cluster.RunUntil([] { return false; }, Seconds(2));
+  BOOST_TEST(!cluster.Leader());
+  cluster.Start(1, false);
+  cluster.Start(2, false);
+  BOOST_TEST(cluster.Get().text == LayoutText(4, "db4"));
+}
+
+BOOST_AUTO_TEST_CASE(relays_learn_of_layouts_endpoints_and_each_other) {
+  StewardCluster cluster(3);
+  Listener a(&cluster, "relay-a", 0);
+  Listener b(&cluster, "relay-b", 1);
+  BOOST_REQUIRE((cluster.Put(LayoutText(2, "db")) == CallOutcome::kDone));
+  boost::asio::io_context other;
+  LineGroup group(&other, "g1", 1);
+  BOOST_REQUIRE(cluster.RunUntil(
+      [&] { return cluster.At(2)->Announce(group.Record(0, "a", 1)); }));
+  BOOST_TEST(cluster.RunUntil([&] {
+    return a.version == 2 && b.version == 2 &&
+           a.directory.relays.contains(VmId("relay-b")) &&
+           b.directory.endpoints.contains(EndpointId("g1-0")) &&
+           LeadOf(a.directory, GroupId("g1")) != nullptr;
+  }));
+  EndpointRecord leaving = group.Record(0, "a", 2);
+  leaving.leaving = true;
+  BOOST_TEST(cluster.At(0)->Announce(leaving));
+  BOOST_TEST(cluster.RunUntil([&] {
+    return b.directory.endpoints.at(EndpointId("g1-0")).leaving;
+  }));
+  BOOST_TEST(!a.went_back);
+  BOOST_TEST(!b.went_back);
+}
+
+/// A group of three behind a cluster that looks after its lead.
+struct Succession {
+  Succession() : cluster(3), group(&cluster.io, "g1", 3) {
+    cluster.on_promote = [this](const PromoteOrder& order,
+                                std::function<void(PromoteOutcome)> done) {
+      if (lose_orders > 0) {
+        --lose_orders;
+        return done(PromoteOutcome::kUnclear);
+      }
+      group.Promote(order.endpoint);
+      done(PromoteOutcome::kTaken);
+    };
+    BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+    listener = std::make_unique<Listener>(&cluster, "relay-a", 0);
+    BOOST_REQUIRE(cluster.RunUntil([&] { return AnnounceAll(); }));
+    BOOST_REQUIRE(cluster.RunUntil([&] { return LeadIs("g1-0"); }));
+  }
+
+  bool AnnounceAll() {
+    ++sequence;
+    bool all = true;
+    for (size_t i = 0; i < 3; ++i)
+      all = cluster.At(i)->Announce(group.Record(i, "a", sequence)) && all;
+    return all;
+  }
+  bool LeadIs(const std::string& id) {
+    const EndpointRecord* lead = LeadOf(listener->directory, GroupId("g1"));
+    return lead != nullptr && lead->id.value() == id;
+  }
+  void Complain(Trouble trouble) {
+    listener->link->Report(GroupId("g1"), EndpointId("g1-0"), trouble);
+  }
+
+  StewardCluster cluster;
+  LineGroup group;
+  std::unique_ptr<Listener> listener;
+  uint64_t sequence = 0;
+  int lose_orders = 0;
+};
+
+BOOST_AUTO_TEST_CASE(a_dead_primary_is_replaced_by_what_received_most) {
+  Succession s;
+  s.group.member(1).received = 3;
+  s.group.member(2).received = 5;
+  s.group.Kill(0);
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.Complain(Trouble::kRefused);
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.LeadIs("g1-2"); }));
+  BOOST_REQUIRE(s.cluster.orders.size() == 1u);
+  BOOST_TEST(s.cluster.orders[0].fence_token > 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_answers_is_kept) {
+  Succession s;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.Complain(Trouble::kSilent);
+  s.cluster.RunUntil([] { return false; }, Seconds(1));
+  BOOST_TEST(s.cluster.orders.empty());
+  BOOST_TEST(s.LeadIs("g1-0"));
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_promoted_while_a_replica_is_silent) {
+  Succession s;
+  s.group.Kill(0);
+  s.group.member(2).silent = true;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.Complain(Trouble::kRefused);
+  s.cluster.RunUntil([] { return false; }, Seconds(2));
+  BOOST_TEST(s.cluster.orders.empty());
+  s.group.member(2).silent = false;
+  BOOST_TEST(s.cluster.RunUntil([&] { return !s.cluster.orders.empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(an_unanswered_order_is_sent_again_with_its_token) {
+  Succession s;
+  s.group.Kill(0);
+  s.lose_orders = 1;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.Complain(Trouble::kRefused);
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.cluster.orders.size() >= 2; }));
+  BOOST_TEST((s.cluster.orders[0].endpoint == s.cluster.orders[1].endpoint));
+  BOOST_TEST(s.cluster.orders[0].fence_token ==
+             s.cluster.orders[1].fence_token);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_primary_hands_over) {
+  Succession s;
+  EndpointRecord leaving = s.group.Record(0, "a", ++s.sequence);
+  leaving.leaving = true;
+  BOOST_REQUIRE(s.cluster.At(0)->Announce(leaving));
+  BOOST_TEST(s.cluster.RunUntil(
+      [&] { return s.LeadIs("g1-1") || s.LeadIs("g1-2"); }));
+  BOOST_TEST(!s.group.member(0).leads);
+}
+
+BOOST_AUTO_TEST_CASE(tokens_rise_with_each_reign) {
+  Succession s;
+  s.group.Kill(0);
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.Complain(Trouble::kRefused);
+  BOOST_REQUIRE(
+      s.cluster.RunUntil([&] { return s.cluster.orders.size() == 1; }));
+  BOOST_REQUIRE(s.cluster.RunUntil([&] { return !s.LeadIs("g1-0"); }));
+  size_t old_leader = *s.cluster.Leader();
+  std::string second =
+      LeadOf(s.listener->directory, GroupId("g1"))->id.value();
+  s.cluster.Stop(old_leader);
+  BOOST_REQUIRE(s.cluster.RunUntil([&] { return s.cluster.Leader(); }));
+  EndpointRecord leaving;
+  for (size_t i = 0; i < 3; ++i) {
+    if (s.group.member(i).id.value() == second)
+      leaving = s.group.Record(i, "a", 90);
+  }
+  leaving.leaving = true;
+  // The dead one has left for good, so that nobody waits for it.
+  size_t up = *s.cluster.Leader();
+  s.cluster.RunUntil([&] {
+    return s.cluster.At(up)->Leave(EndpointId("g1-0")) &&
+           s.cluster.At(up)->Announce(leaving);
+  });
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.cluster.orders.size() >= 2; }));
+  BOOST_TEST(s.cluster.orders.back().fence_token >
+             s.cluster.orders.front().fence_token);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomchute
--- /dev/null
+++ b/fleet/test/steward_cluster.h
@@ -0,0 +1,143 @@
+/// Stewards in one process, on loopback, each with a folder of its own.
+#ifndef CARDAMOMCHUTE_FLEET_TEST_STEWARD_CLUSTER_H_
+#define CARDAMOMCHUTE_FLEET_TEST_STEWARD_CLUSTER_H_
+
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cardamomchute/fleet/control_link.h"
+#include "cardamomchute/fleet/steward.h"
+#include "cardamomchute/platform/documents.h"
+#include "cardamomchute/platform/line_protocol.h"
+
+namespace cardamomchute {
+
+inline std::string LayoutText(uint64_t version, const std::string& database) {
+  return "{\"version\":" + std::to_string(version) +
+         ",\"routes\":[{\"name\":\"r\",\"host\":\"" + database +
+         "\",\"pathPrefix\":\"/\",\"type\":\"primary\",\"timeoutMs\":800,"
+         "\"prio\":0,\"service\":\"g1\"}],\"services\":[{\"name\":\"g1\","
+         "\"maxConns\":8,\"syncReplicas\":1}]}";
+}
+
+class StewardCluster {
+ public:
+  /// The first three found the system; others join.
+  explicit StewardCluster(size_t count) {
+    folder_ = std::filesystem::temp_directory_path() /
+              ("steward-test-" + std::to_string(::getpid()) + "-" +
+               std::to_string(++clusters_));
+    for (size_t i = 0; i < count; ++i) addresses_.push_back(FreeAddress());
+    stewards_.resize(count);
+    for (size_t i = 0; i < count; ++i) Start(i, true);
+  }
+  ~StewardCluster() {
+    for (std::unique_ptr<Steward>& steward : stewards_) steward = nullptr;
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+  }
+
+  void Start(size_t i, bool may_found) {
+    StewardParts parts;
+    parts.io = &io;
+    parts.name = VmId("control-" + std::to_string(i));
+    parts.listen = addresses_[i];
+    parts.data_folder = FolderOf(i);
+    for (size_t s = 0; s < std::min<size_t>(3, addresses_.size()); ++s)
+      parts.seeds.push_back(addresses_[s]);
+    parts.may_found = may_found;
+    parts.read_layout = DecodeLayout;
+    parts.endpoint_protocol = LineEndpointProtocol();
+    parts.promote = [this](const PromoteOrder& order,
+                           std::function<void(PromoteOutcome)> done) {
+      orders.push_back(order);
+      if (on_promote) return on_promote(order, std::move(done));
+      done(PromoteOutcome::kUnclear);
+    };
+    parts.on_failure = [](const Error& error) {
+      BOOST_FAIL(ToString(error));
+    };
+    stewards_[i] = std::make_unique<Steward>(std::move(parts));
+    BOOST_REQUIRE(stewards_[i]->Start());
+  }
+  void Stop(size_t i) { stewards_[i] = nullptr; }
+  void Wipe(size_t i) { std::filesystem::remove_all(FolderOf(i)); }
+  std::filesystem::path FolderOf(size_t i) const {
+    return folder_ / std::to_string(i);
+  }
+
+  Steward* At(size_t i) { return stewards_[i].get(); }
+  const Address& AddressOf(size_t i) const { return addresses_[i]; }
+  size_t size() const { return stewards_.size(); }
+
+  std::optional<size_t> Leader() const {
+    for (size_t i = 0; i < stewards_.size(); ++i) {
+      if (stewards_[i] && stewards_[i]->leading()) return i;
+    }
+    return std::nullopt;
+  }
+
+  bool RunUntil(const std::function<bool()>& done,
+                Duration limit = Seconds(20)) {
+    Time until = Now() + limit;
+    while (!done() && Now() < until)
+      io.run_one_for(std::chrono::milliseconds(10));
+    return done();
+  }
+
+  /// Sends to whoever leads until somebody accepts or refuses.
+  CallOutcome Put(const std::string& text) {
+    return Call([this, text](size_t i, LayoutDone done) {
+             stewards_[i]->PutLayout(text, std::move(done));
+           })
+        .outcome;
+  }
+  LayoutAnswer Get() {
+    return Call([this](size_t i, LayoutDone done) {
+      stewards_[i]->GetLayout(std::move(done));
+    });
+  }
+
+  boost::asio::io_context io;
+  std::vector<PromoteOrder> orders;
+  PromoteCall on_promote;
+
+ private:
+  static Address FreeAddress() {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(
+        io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return Address{"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+
+  LayoutAnswer Call(const std::function<void(size_t, LayoutDone)>& call) {
+    LayoutAnswer last;
+    RunUntil([&] {
+      std::optional<size_t> leader = Leader();
+      if (!leader) return false;
+      std::shared_ptr<std::optional<LayoutAnswer>> answer =
+          std::make_shared<std::optional<LayoutAnswer>>();
+      call(*leader, [answer](LayoutAnswer a) { *answer = std::move(a); });
+      RunUntil([&] { return answer->has_value(); }, Seconds(2));
+      if (!answer->has_value()) return false;
+      last = **answer;
+      return last.outcome == CallOutcome::kDone ||
+             last.outcome == CallOutcome::kInvalid;
+    });
+    return last;
+  }
+
+  inline static int clusters_ = 0;
+  std::filesystem::path folder_;
+  std::vector<Address> addresses_;
+  std::vector<std::unique_ptr<Steward>> stewards_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_FLEET_TEST_STEWARD_CLUSTER_H_
--- /dev/null
+++ b/policy/test/directory-test.cc
@@ -0,0 +1,188 @@
+#include "cardamomchute/policy/directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cardamomchute {
+namespace {
+
+EndpointRecord Endpoint(const std::string& id, uint16_t port, uint64_t born,
+                        uint64_t sequence) {
+  EndpointRecord record;
+  record.id = EndpointId(id);
+  record.group = GroupId("g");
+  record.address = Address{"10.0.0.1", port};
+  record.zone = Zone("a");
+  record.slots = 2;
+  record.born_ms = born;
+  record.sequence = sequence;
+  return record;
+}
+
+RelayRecord RelayIn(const std::string& vm, const std::string& zone) {
+  RelayRecord record;
+  record.vm = VmId(vm);
+  record.address = Address{"10.0.1." + vm.substr(1), 7440};
+  record.zone = Zone(zone);
+  record.run_ms = 1;
+  record.sequence = 1;
+  return record;
+}
+
+DirectoryDelta Of(const EndpointRecord& record) {
+  DirectoryDelta delta;
+  delta.endpoints.push_back(record);
+  return delta;
+}
+
+BOOST_AUTO_TEST_SUITE(directory)
+
+BOOST_AUTO_TEST_CASE(late_announcements_change_nothing) {
+  Directory directory;
+  EndpointRecord leaving = Endpoint("e", 1, 10, 6);
+  leaving.leaving = true;
+  Merge(directory, Of(leaving), Time(0));
+  DirectoryDelta changed =
+      Merge(directory, Of(Endpoint("e", 1, 10, 5)), Time(1));
+  BOOST_TEST(changed.Empty());
+  BOOST_TEST(directory.endpoints.at(EndpointId("e")).leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_run_begins_its_count_anew) {
+  Directory directory;
+  EndpointRecord leaving = Endpoint("e", 1, 10, 60);
+  leaving.leaving = true;
+  Merge(directory, Of(leaving), Time(0));
+  Merge(directory, Of(Endpoint("e", 1, 20, 1)), Time(1));
+  BOOST_TEST(!directory.endpoints.at(EndpointId("e")).leaving);
+  Merge(directory, Of(leaving), Time(2));
+  BOOST_TEST(!directory.endpoints.at(EndpointId("e")).leaving);
+}
+
+BOOST_AUTO_TEST_CASE(an_unchanged_announcement_is_no_news) {
+  Directory directory;
+  BOOST_TEST(!Merge(directory, Of(Endpoint("e", 1, 10, 1)), Time(0)).Empty());
+  BOOST_TEST(Merge(directory, Of(Endpoint("e", 1, 10, 2)), Time(1)).Empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_address_belongs_to_whoever_was_born_last) {
+  Directory directory;
+  Merge(directory, Of(Endpoint("old", 1, 10, 1)), Time(0));
+  Merge(directory, Of(Endpoint("new", 1, 20, 1)), Time(1));
+  BOOST_TEST(directory.endpoints.at(EndpointId("old")).gone);
+  // A late announcement of the old one brings it not back.
+  Merge(directory, Of(Endpoint("old", 1, 10, 2)), Time(2));
+  BOOST_TEST(directory.endpoints.at(EndpointId("old")).gone);
+  BOOST_TEST(!directory.endpoints.at(EndpointId("new")).gone);
+}
+
+BOOST_AUTO_TEST_CASE(what_left_stays_away) {
+  Directory directory;
+  Merge(directory, Of(Endpoint("e", 1, 10, 3)), Time(0));
+  EndpointRecord gone = Endpoint("e", 1, 10, 3);
+  gone.gone = true;
+  BOOST_TEST(!Merge(directory, Of(gone), Time(1)).Empty());
+  Merge(directory, Of(Endpoint("e", 1, 10, 4)), Time(2));
+  BOOST_TEST(directory.endpoints.at(EndpointId("e")).gone);
+  BOOST_TEST(MembersOf(directory, GroupId("g")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_merge_does_not_depend_on_the_order) {
+  std::vector<EndpointRecord> records = {
+      Endpoint("a", 1, 10, 1), Endpoint("a", 1, 10, 2), Endpoint("b", 1, 20, 1),
+      Endpoint("b", 1, 20, 2)};
+  records[1].leaving = true;
+  std::sort(records.begin(), records.end(),
+            [](const EndpointRecord& x, const EndpointRecord& y) {
+              return std::tie(x.id, x.sequence) < std::tie(y.id, y.sequence);
+            });
+  std::vector<size_t> order = {0, 1, 2, 3};
+  do {
+    Directory directory;
+    for (size_t i : order) Merge(directory, Of(records[i]), Time(0));
+    BOOST_TEST(directory.endpoints.at(EndpointId("a")).gone);
+    BOOST_TEST(directory.endpoints.at(EndpointId("b")).sequence == 2u);
+    BOOST_TEST(!directory.endpoints.at(EndpointId("b")).gone);
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+BOOST_AUTO_TEST_CASE(leads_of_a_later_reign_win) {
+  Directory directory;
+  Merge(directory, Of(Endpoint("e", 1, 10, 1)), Time(0));
+  DirectoryDelta later;
+  later.leads[GroupId("g")] = LeadRecord{EndpointId("e"), 3, 1, Term(2)};
+  Merge(directory, later, Time(0));
+  DirectoryDelta earlier;
+  earlier.leads[GroupId("g")] = LeadRecord{EndpointId("x"), 2, 9, Term(1)};
+  BOOST_TEST(Merge(directory, earlier, Time(0)).Empty());
+  BOOST_TEST(LeadOf(directory, GroupId("g"))->id.value() == "e");
+}
+
+BOOST_AUTO_TEST_CASE(silent_relays_are_left_out) {
+  Directory directory;
+  DirectoryDelta delta;
+  delta.relays.push_back(RelayIn("r1", "a"));
+  Merge(directory, delta, Time(0));
+  BOOST_TEST(Expire(directory, Time(6000)).Empty());
+  DirectoryDelta gone = Expire(directory, Time(8000));
+  BOOST_REQUIRE(gone.relays.size() == 1u);
+  BOOST_TEST(gone.relays[0].gone);
+}
+
+Directory ManyRelays(size_t per_zone) {
+  Directory directory;
+  DirectoryDelta delta;
+  for (size_t i = 0; i < per_zone; ++i) {
+    delta.relays.push_back(RelayIn("r" + std::to_string(10 + i), "a"));
+    delta.relays.push_back(RelayIn("r" + std::to_string(40 + i), "b"));
+  }
+  for (uint16_t port = 1; port <= 6; ++port) {
+    EndpointRecord record = Endpoint("e" + std::to_string(port), port, 1, 1);
+    record.slots = 4;
+    delta.endpoints.push_back(record);
+  }
+  Merge(directory, delta, Time(0));
+  return directory;
+}
+
+BOOST_AUTO_TEST_CASE(holders_are_near_and_share_the_work) {
+  Directory directory = ManyRelays(12);
+  std::map<EndpointId, Holders> holders = AssignHolders(directory);
+  std::map<VmId, size_t> held;
+  for (const auto& [id, of] : holders) {
+    BOOST_TEST(of.active.size() == 2u);
+    BOOST_TEST(of.reserve.size() == kReserveHolders);
+    for (const RelayRecord& relay : of.active) {
+      BOOST_TEST(relay.zone.value() == "a");
+      ++held[relay.vm];
+    }
+  }
+  for (const auto& [vm, count] : held) BOOST_TEST(count == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(holders_that_drain_are_replaced) {
+  Directory directory = ManyRelays(12);
+  std::map<EndpointId, Holders> before = AssignHolders(directory);
+  RelayRecord leaving = before.at(EndpointId("e1")).active[0];
+  leaving.draining = true;
+  leaving.sequence = 2;
+  DirectoryDelta delta;
+  delta.relays.push_back(leaving);
+  Merge(directory, delta, Time(1));
+  for (const auto& [id, of] : AssignHolders(directory)) {
+    for (const RelayRecord& relay : of.active)
+      BOOST_TEST(relay.vm != leaving.vm);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(without_relays_near_those_far_away_hold) {
+  Directory directory = ManyRelays(0);
+  DirectoryDelta delta;
+  delta.relays.push_back(RelayIn("r1", "b"));
+  Merge(directory, delta, Time(0));
+  BOOST_TEST(AssignHolders(directory).at(EndpointId("e1")).active.size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomchute
--- /dev/null
+++ b/policy/test/layout-test.cc
@@ -0,0 +1,49 @@
+#include "cardamomchute/policy/layout.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cardamomchute {
+namespace {
+
+Layout Valid() {
+  Layout layout;
+  layout.version = 1;
+  layout.groups[GroupId("g")] = GroupBounds{};
+  RouteSpec route;
+  route.database = DatabaseName("db");
+  route.group = GroupId("g");
+  route.statement_timeout = Millis(800);
+  layout.routes.push_back(route);
+  return layout;
+}
+
+BOOST_AUTO_TEST_SUITE(layout)
+
+BOOST_AUTO_TEST_CASE(rules_of_a_layout) {
+  BOOST_TEST(CheckLayout(Valid()).has_value());
+  Layout unknown = Valid();
+  unknown.routes[0].group = GroupId("other");
+  BOOST_TEST(!CheckLayout(unknown));
+  Layout no_time = Valid();
+  no_time.routes[0].statement_timeout = Duration();
+  BOOST_TEST(!CheckLayout(no_time));
+  Layout nameless = Valid();
+  nameless.routes[0].database = DatabaseName();
+  BOOST_TEST(!CheckLayout(nameless));
+  Layout twice = Valid();
+  twice.routes.push_back(twice.routes[0]);
+  BOOST_TEST(!CheckLayout(twice));
+  twice.routes[1].scope = "/other";
+  BOOST_TEST(CheckLayout(twice).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(routes_by_database) {
+  Layout layout = Valid();
+  BOOST_TEST(FindRoute(layout, DatabaseName("db")) != nullptr);
+  BOOST_TEST(FindRoute(layout, DatabaseName("nodb")) == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomchute
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -64,7 +64,7 @@
   std::optional<Target> LeaderOf(const GroupId& group) const;
   /// A replica for a read that is not among `tried`; the leader if no replica
   /// is left; nothing if that was tried too.
-  std::optional<Target> ReaderOf(const GroupId& group,
+  std::optional<Target> ReaderOf(const GroupId& group, Duration max_staleness,
                                  const std::set<EndpointId>& tried) const;
   void Run(const Target& target, RunRequest request, bool wrote, RunDone done);
   void Abandon(const Target& target, const AbandonRun& abandon);
@@ -84,7 +84,8 @@
   /// How many VMs share the endpoint's slots, if this VM is one of them.
   size_t SharersWith(const EndpointId& endpoint) const;
   bool Usable(const EndpointId& endpoint, const Address& holder) const;
-  void NoteLag(const EndpointId& endpoint, bool lagging);
+  void NoteLag(const EndpointId& endpoint, Duration max_staleness,
+               bool lagging);
   std::shared_ptr<EndpointPool> PoolOf(const EndpointId& endpoint,
                                        const GroupId& group,
                                        const Address& address);
@@ -111,7 +112,8 @@
     Time until;
     Duration pause;
   };
-  std::map<EndpointId, Lag> lagging_;
+  /// By what staleness the reads allowed.
+  std::map<std::pair<EndpointId, Duration>, Lag> lagging_;
   std::set<std::shared_ptr<RelayedSession>> sessions_;
   uint64_t next_session_ = 0;
   uint64_t next_run_ = 0;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -255,12 +255,13 @@
 }
 
 /// A replica that lags is passed over for longer each time.
-void Relay::NoteLag(const EndpointId& endpoint, bool lagging) {
+void Relay::NoteLag(const EndpointId& endpoint, Duration max_staleness,
+                    bool lagging) {
   if (!lagging) {
-    lagging_.erase(endpoint);
+    lagging_.erase({endpoint, max_staleness});
     return;
   }
-  Lag& lag = lagging_[endpoint];
+  Lag& lag = lagging_[{endpoint, max_staleness}];
   Time now = Now();
   if (now < lag.until) return;
   lag.pause = std::clamp(lag.pause * 2, kLagPauseMin, kLagPauseMax);
@@ -274,6 +275,7 @@
 }
 
 std::optional<Target> Relay::ReaderOf(const GroupId& group,
+                                      Duration max_staleness,
                                       const std::set<EndpointId>& tried) const {
   const EndpointRecord* lead = LeadOf(directory_, group);
   std::optional<Target> best;
@@ -282,7 +284,7 @@
   for (const EndpointRecord& member : MembersOf(directory_, group)) {
     bool leads = lead != nullptr && member.id == lead->id;
     if (leads || member.leaving || tried.contains(member.id)) continue;
-    auto lag = lagging_.find(member.id);
+    auto lag = lagging_.find({member.id, max_staleness});
     if (lag != lagging_.end() && now < lag->second.until) continue;
     std::optional<Target> target = HolderOf(member);
     if (!target) continue;
@@ -302,8 +304,9 @@
                 RunDone done) {
   EndpointId endpoint = target.endpoint.id;
   Address holder = target.holder;
+  Duration max_staleness = request.max_staleness;
   std::weak_ptr<Relay> weak = weak_from_this();
-  RunDone noted = [weak, endpoint, holder,
+  RunDone noted = [weak, endpoint, holder, max_staleness,
                    done = std::move(done)](RunAnswer answer) {
     std::shared_ptr<Relay> self = weak.lock();
     if (self) {
@@ -316,7 +319,7 @@
       bool lagging = answer.outcome == Outcome::kLagging ||
                      answer.outcome == Outcome::kUnreachable;
       if (lagging || answer.outcome == Outcome::kDone)
-        self->NoteLag(endpoint, lagging);
+        self->NoteLag(endpoint, max_staleness, lagging);
     }
     done(std::move(answer));
   };
@@ -369,6 +372,9 @@
   std::set<std::shared_ptr<RelayedSession>> sessions = sessions_;
   for (const std::shared_ptr<RelayedSession>& session : sessions)
     session->EndIdleTransaction(now);
+  std::erase_if(lagging_, [now](const auto& item) {
+    return item.second.until + kLagPauseMax < now;
+  });
   std::erase_if(avoid_until_,
                 [now](const auto& item) { return item.second <= now; });
   for (auto it = pools_.begin(); it != pools_.end();) {
--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -219,7 +219,8 @@
                          !attempt_->writes &&
                          (transaction_ == Transaction::kNone || read_only_);
   std::optional<Target> target =
-      replica_will_do ? relay_->ReaderOf(route_->group, attempt_->tried)
+      replica_will_do ? relay_->ReaderOf(route_->group, route_->max_staleness,
+                                         attempt_->tried)
                       : relay_->LeaderOf(route_->group);
   if (target) return Send(*target);
   attempt_->tried.clear();
--- /dev/null
+++ b/relay/test/endpoint_pool-test.cc
@@ -0,0 +1,337 @@
+#include "cardamomchute/relay/endpoint_pool.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "cardamomchute/platform/line_protocol.h"
+#include "line_group.h"
+
+namespace cardamomchute {
+namespace {
+
+/// A pool to one member of a stand-in group.
+struct Fixture {
+  explicit Fixture(size_t member = 0, size_t members = 3)
+      : group(&io, "g1", members) {
+    PoolParts parts;
+    parts.executor = io.get_executor();
+    parts.protocol = &protocol;
+    parts.endpoint = group.member(member).id;
+    parts.group = GroupId("g1");
+    parts.address = group.member(member).address;
+    parts.report = [this](Trouble trouble) { troubles.push_back(trouble); };
+    parts.ask_floor =
+        [this](std::function<void(std::optional<FloorAnswer>)> done) {
+          ++floors_asked;
+          done(floor);
+        };
+    pool = std::make_shared<EndpointPool>(std::move(parts));
+    bounds.slots = 2;
+    bounds.connections = 4;
+    bounds.leads = member == 0;
+    pool->SetBounds(bounds);
+  }
+  ~Fixture() { pool->Close(); }
+
+  RunRequest Request(RunStep step, const std::string& text) {
+    RunRequest request;
+    request.step = step;
+    request.run = 1;
+    request.writes = text.starts_with("WRITE");
+    request.at_leader = true;
+    request.target = Millis(500);
+    request.hold = Seconds(2);
+    request.timeout = Seconds(3);
+    request.id = "q" + std::to_string(++next_id);
+    request.text = text;
+    return request;
+  }
+
+  /// The answers arrive in `answers`, in the order of their arrival.
+  void Submit(RunRequest request, const std::string& caller = "a") {
+    pool->Submit(std::move(request), SessionKey{VmId(caller), 1},
+                 [this](RunAnswer answer) {
+                   answers.push_back(std::move(answer));
+                 });
+  }
+
+  RunAnswer Run(RunRequest request, const std::string& caller = "a") {
+    size_t before = answers.size();
+    Submit(std::move(request), caller);
+    RunUntil([&] { return answers.size() > before; });
+    BOOST_REQUIRE(answers.size() > before);
+    return answers.back();
+  }
+
+  bool RunUntil(const std::function<bool()>& done) {
+    Time limit = Now() + Seconds(10);
+    while (!done() && Now() < limit) io.run_one_for(std::chrono::milliseconds(20));
+    return done();
+  }
+
+  boost::asio::io_context io;
+  EndpointProtocol protocol = LineEndpointProtocol();
+  LineGroup group;
+  std::shared_ptr<EndpointPool> pool;
+  PoolBounds bounds;
+  std::vector<RunAnswer> answers;
+  std::vector<Trouble> troubles;
+  std::optional<FloorAnswer> floor;
+  int floors_asked = 0;
+  int next_id = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(endpoint_pool)
+
+BOOST_AUTO_TEST_CASE(a_write_and_a_fenced_read_run_once) {
+  Fixture f;
+  RunAnswer wrote = f.Run(f.Request(RunStep::kSingle, "WRITE k v1"));
+  BOOST_TEST((wrote.outcome == Outcome::kDone));
+  RunAnswer read = f.Run(f.Request(RunStep::kSingle, "READ k"));
+  BOOST_TEST((read.outcome == Outcome::kDone));
+  BOOST_REQUIRE(read.rows.size() == 1u);
+  BOOST_TEST(read.rows[0] == "v1|");
+  BOOST_TEST(f.group.member(0).runs.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_at_an_endpoint_that_lost_the_lead_does_not_run) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kSingle, "READ k"));
+  f.group.Promote(f.group.member(1).id);
+  size_t before = f.group.member(0).runs.size();
+  RunAnswer read = f.Run(f.Request(RunStep::kSingle, "READ k"));
+  BOOST_TEST((read.outcome == Outcome::kReadOnly));
+  BOOST_TEST(NotRun(read.outcome));
+  BOOST_TEST(f.group.member(0).runs.size() == before);
+  BOOST_TEST(!f.troubles.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_first_statement_after_a_refused_begin_does_not_run) {
+  Fixture f;
+  f.group.Promote(f.group.member(1).id);
+  RunAnswer first = f.Run(f.Request(RunStep::kFirst, "WRITE k v"));
+  BOOST_TEST((first.outcome == Outcome::kReadOnly));
+  BOOST_TEST(f.group.member(0).runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_transaction_keeps_its_connection) {
+  Fixture f;
+  RunAnswer first = f.Run(f.Request(RunStep::kFirst, "WRITE k mine"));
+  BOOST_TEST(first.transaction);
+  RunAnswer other = f.Run(f.Request(RunStep::kSingle, "READ k"), "b");
+  BOOST_TEST(other.rows[0] == "none|");
+  RunAnswer commit = f.Run(f.Request(RunStep::kCommit, "COMMIT"));
+  BOOST_TEST((commit.outcome == Outcome::kDone));
+  BOOST_TEST(f.group.CountOf("mine") == 1u);
+  RunAnswer after = f.Run(f.Request(RunStep::kSingle, "READ k"), "b");
+  BOOST_TEST(after.rows[0] == "mine|");
+}
+
+BOOST_AUTO_TEST_CASE(what_is_abandoned_is_rolled_back) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kFirst, "WRITE k gone"));
+  f.pool->Abandon(SessionKey{VmId("a"), 1}, 1);
+  BOOST_TEST(f.RunUntil([&] { return f.pool->Idle(); }));
+  RunAnswer next = f.Run(f.Request(RunStep::kNext, "READ k"));
+  BOOST_TEST((next.outcome == Outcome::kAborted));
+  BOOST_TEST(f.group.CountOf("gone") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_relay_takes_its_transactions_and_waiting_with_it) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kFirst, "WRITE k gone"));
+  f.pool->AbandonAll(VmId("a"));
+  BOOST_TEST(f.RunUntil([&] { return f.pool->Idle(); }));
+  BOOST_TEST(f.group.CountOf("gone") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(values_of_one_session_never_reach_another) {
+  Fixture f;
+  RunRequest with = f.Request(RunStep::kSingle, "READ k");
+  with.values = {{"tz", "nz"}};
+  BOOST_TEST(f.Run(with, "a").rows[0] == "none|tz=nz");
+  BOOST_TEST(f.Run(f.Request(RunStep::kSingle, "READ k"), "b").rows[0] ==
+             "none|");
+  RunRequest other = f.Request(RunStep::kSingle, "READ k");
+  other.values = {{"lang", "da"}};
+  BOOST_TEST(f.Run(other, "c").rows[0] == "none|lang=da");
+}
+
+BOOST_AUTO_TEST_CASE(no_more_than_the_slots_run_at_a_time) {
+  Fixture f;
+  f.group.SetWork(Millis(10));
+  for (int i = 0; i < 12; ++i)
+    f.Submit(f.Request(RunStep::kSingle, "WRITE k v" + std::to_string(i)),
+             "c" + std::to_string(i));
+  BOOST_TEST(f.RunUntil([&] { return f.answers.size() == 12; }));
+  BOOST_TEST(f.group.member(0).most_running <= 2u);
+  BOOST_TEST(f.group.member(0).connections <= 4u);
+}
+
+BOOST_AUTO_TEST_CASE(urgent_statements_go_first) {
+  Fixture f;
+  f.bounds.slots = 1;
+  f.pool->SetBounds(f.bounds);
+  f.Run(f.Request(RunStep::kSingle, "WRITE k warm"));
+  f.group.SetWork(Millis(5));
+  for (int i = 0; i < 3; ++i) {
+    RunRequest low = f.Request(RunStep::kSingle, "WRITE low x");
+    low.rank = Rank(2);
+    f.Submit(low, "l" + std::to_string(i));
+  }
+  RunRequest urgent = f.Request(RunStep::kSingle, "WRITE urgent x");
+  f.Submit(urgent, "u");
+  f.RunUntil([&] { return f.answers.size() == 5; });
+  const std::vector<std::string>& runs = f.group.member(0).runs;
+  BOOST_REQUIRE(runs.size() == 5u);
+  BOOST_TEST(runs[2].find("urgent") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(what_can_no_longer_be_in_time_lets_others_go_first) {
+  Fixture f;
+  f.bounds.slots = 1;
+  f.pool->SetBounds(f.bounds);
+  f.Run(f.Request(RunStep::kSingle, "WRITE k warm"));
+  f.group.SetWork(Millis(150));
+  f.Submit(f.Request(RunStep::kSingle, "WRITE running x"), "r");
+  RunRequest late = f.Request(RunStep::kSingle, "WRITE late x");
+  late.target = Millis(1);
+  f.Submit(late, "l");
+  Time limit = Now() + Millis(100);
+  f.RunUntil([&] { return Now() > limit; });
+  f.Submit(f.Request(RunStep::kSingle, "WRITE intime x"), "i");
+  f.RunUntil([&] { return f.answers.size() == 4; });
+  const std::vector<std::string>& runs = f.group.member(0).runs;
+  BOOST_REQUIRE(runs.size() == 4u);
+  BOOST_TEST(runs[2].find("intime") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_whose_answer_is_lost_is_unknown_and_not_sent_again) {
+  Fixture f;
+  f.group.member(0).mute_commits = true;
+  RunRequest write = f.Request(RunStep::kSingle, "WRITE k once");
+  write.timeout = Millis(300);
+  RunAnswer answer = f.Run(write);
+  BOOST_TEST((answer.outcome == Outcome::kUnknown));
+  BOOST_TEST(f.group.CountOf("once") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_transaction_that_loses_its_connection_is_aborted) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kFirst, "WRITE k v"));
+  f.group.Kill(0);
+  RunAnswer next = f.Run(f.Request(RunStep::kNext, "READ k"));
+  BOOST_TEST((next.outcome == Outcome::kAborted));
+  BOOST_TEST(f.group.CountOf("v") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_waits_for_an_endpoint_that_answers_nothing) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kSingle, "WRITE k v"));
+  f.group.member(0).silent = true;
+  for (int i = 0; i < 4; ++i)
+    f.Submit(f.Request(RunStep::kSingle, "READ k"), "c" + std::to_string(i));
+  BOOST_TEST(f.RunUntil([&] { return f.answers.size() >= 3; }));
+  BOOST_TEST((f.answers[1].outcome == Outcome::kUnreachable));
+  BOOST_TEST(f.RunUntil([&] { return !f.troubles.empty(); }));
+  BOOST_TEST((f.troubles.front() == Trouble::kSilent));
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_is_reported_and_ends_the_waiting) {
+  Fixture f;
+  f.group.Kill(0);
+  RunAnswer answer = f.Run(f.Request(RunStep::kSingle, "READ k"));
+  BOOST_TEST((answer.outcome == Outcome::kUnreachable));
+  BOOST_REQUIRE(!f.troubles.empty());
+  BOOST_TEST((f.troubles.front() == Trouble::kRefused));
+}
+
+BOOST_AUTO_TEST_CASE(writes_that_no_replica_receives_are_reported_as_stalled) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kSingle, "WRITE k v"));
+  f.group.member(1).paused_below = 9;
+  f.group.member(2).paused_below = 9;
+  f.Submit(f.Request(RunStep::kSingle, "WRITE k stuck"));
+  // Reads are answered all the while.
+  auto read_on = [&] {
+    f.Run(f.Request(RunStep::kSingle, "READ k"), "r");
+    return !f.troubles.empty();
+  };
+  BOOST_TEST(f.RunUntil(read_on));
+  BOOST_TEST((f.troubles.front() == Trouble::kStalled));
+}
+
+RunRequest BoundedRead(Fixture* f, Duration staleness) {
+  RunRequest read = f->Request(RunStep::kSingle, "READ k");
+  read.at_leader = false;
+  read.max_staleness = staleness;
+  return read;
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_reads_only_what_is_fresh_enough) {
+  Fixture f(1);
+  f.floor = FloorAnswer{0, Floor{Term(1), Position(5)}, Duration()};
+  RunAnswer lacks = f.Run(BoundedRead(&f, Seconds(2)));
+  BOOST_TEST((lacks.outcome == Outcome::kLagging));
+  f.group.member(1).applied = 5;
+  RunAnswer has = f.Run(BoundedRead(&f, Seconds(2)));
+  BOOST_TEST((has.outcome == Outcome::kDone));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_is_not_read_while_no_position_is_known) {
+  Fixture f(1);
+  RunAnswer answer = f.Run(BoundedRead(&f, Seconds(2)));
+  BOOST_TEST((answer.outcome == Outcome::kLagging));
+  BOOST_TEST(f.group.member(1).runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_position_that_is_older_than_the_bound_does_not_do) {
+  Fixture f(1);
+  f.floor = FloorAnswer{0, Floor{Term(1), Position()}, Millis(1500)};
+  RunAnswer answer = f.Run(BoundedRead(&f, Millis(1000)));
+  BOOST_TEST((answer.outcome == Outcome::kLagging));
+  BOOST_TEST(f.group.member(1).runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_sessions_own_commits_bind_its_reads) {
+  Fixture f(1);
+  f.floor = FloorAnswer{0, Floor{Term(1), Position()}, Duration()};
+  RunRequest read = BoundedRead(&f, Seconds(2));
+  read.floor = Floor{Term(1), Position(3)};
+  BOOST_TEST((f.Run(read).outcome == Outcome::kLagging));
+  f.group.member(1).applied = 3;
+  BOOST_TEST((f.Run(read).outcome == Outcome::kDone));
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_tells_a_position_that_it_has_proved) {
+  Fixture f;
+  std::optional<FloorAnswer> told;
+  f.Run(f.Request(RunStep::kSingle, "WRITE k v"));
+  f.pool->AnswerFloor([&](const FloorAnswer& answer) { told = answer; });
+  BOOST_TEST(f.RunUntil([&] { return told.has_value(); }));
+  BOOST_REQUIRE(told->at);
+  BOOST_TEST(told->at->position.value() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_lost_the_lead_tells_no_new_position) {
+  Fixture f;
+  f.pool->Warm();
+  f.group.Promote(f.group.member(1).id);
+  std::optional<FloorAnswer> told;
+  f.RunUntil([&] { return f.group.member(0).connections > 0; });
+  f.pool->AnswerFloor([&](const FloorAnswer& answer) { told = answer; });
+  BOOST_TEST(f.RunUntil([&] { return told.has_value(); }));
+  BOOST_TEST(!told->at);
+}
+
+BOOST_AUTO_TEST_CASE(another_endpoint_at_the_address_runs_nothing) {
+  Fixture f;
+  f.group.member(0).id = EndpointId("successor");
+  RunAnswer answer = f.Run(f.Request(RunStep::kSingle, "WRITE k v"));
+  BOOST_TEST((answer.outcome == Outcome::kMisrouted));
+  BOOST_TEST(f.group.commits() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomchute
--- /dev/null
+++ b/relay/test/line_group.cc
@@ -0,0 +1,317 @@
+#include "line_group.h"
+
+#include <algorithm>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <istream>
+#include <sstream>
+
+namespace cardamomchute {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// One connection to a member: a line in, an answer out, in order.
+class LineSession : public std::enable_shared_from_this<LineSession> {
+ public:
+  LineSession(tcp::socket socket, LineGroup* group, LineMember* member)
+      : socket_(std::move(socket)),
+        timer_(socket_.get_executor()),
+        group_(group),
+        member_(member) {
+    ++member_->connections;
+  }
+  ~LineSession() { --member_->connections; }
+
+  LineMember* member() const { return member_; }
+
+  void Read() {
+    std::shared_ptr<LineSession> self = shared_from_this();
+    asio::async_read_until(socket_, in_, '\n',
+                           [self](error_code error, size_t) {
+                             if (error) return self->Close();
+                             std::istream stream(&self->in_);
+                             std::string line;
+                             std::getline(stream, line);
+                             if (!line.empty() && line.back() == '\r')
+                               line.pop_back();
+                             self->OnLine(line);
+                           });
+  }
+
+  void Close() {
+    if (group_ == nullptr) return;
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    std::shared_ptr<LineSession> self = shared_from_this();
+    group_->sessions_.erase(self);
+    group_ = nullptr;
+  }
+
+  /// Without leave of the group, which is going away.
+  void Orphan() {
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    group_ = nullptr;
+  }
+
+ private:
+  void OnLine(const std::string& line) {
+    std::istringstream words(line);
+    std::string word;
+    words >> word;
+    if (word == "CONNECT") {
+      std::string name, who, id;
+      words >> name >> who >> id;
+      bool wrong = name != group_->name_ ||
+                   (!id.empty() && id != member_->id.value());
+      if (wrong) return Send("ERR MISROUTED -\r\n", true);
+      return Ready("");
+    }
+    std::string id;
+    words >> id;
+    std::string text;
+    std::getline(words >> std::ws, text);
+    if (id != "-") {
+      member_->runs.push_back(id + " " + text);
+      ++member_->running;
+      member_->most_running = std::max(member_->most_running, member_->running);
+      timer_.expires_after(std::chrono::milliseconds(group_->work_.ms()));
+      std::shared_ptr<LineSession> self = shared_from_this();
+      timer_.async_wait([self, text](error_code) {
+        if (self->group_ == nullptr) return;
+        --self->member_->running;
+        self->Run(text);
+      });
+      return;
+    }
+    Run(text);
+  }
+
+  void Run(std::string text) {
+    if (member_->silent) return Read();
+    std::istringstream words(text);
+    std::string verb;
+    words >> verb;
+    if (verb == "AFTER") {
+      std::string at;
+      words >> at;
+      uint64_t number = std::stoull(at.substr(at.find('.') + 1));
+      if (number > member_->applied) return Fail("LAGGING");
+      std::getline(words >> std::ws, text);
+      return Run(text);
+    }
+    std::string name;
+    words >> name;
+    std::string rest;
+    std::getline(words >> std::ws, rest);
+    if (verb == "EXEC") {
+      if (!prepared_.contains(name)) return Fail("NOSTMT");
+      return Run(prepared_[name] + " " + rest);
+    }
+    if (verb == "STATUS") return Ready(Status());
+    if (verb == "PAUSE") {
+      member_->paused_below = std::stoull(name);
+      return Ready(Status());
+    }
+    if (verb == "RESUME") {
+      member_->paused_below = 0;
+      return Ready(Status());
+    }
+    if (verb == "DEMOTE") {
+      member_->leads = false;
+      return Ready(Status());
+    }
+    if (verb == "RESET") {
+      values_.clear();
+      prepared_.clear();
+      return Ready("DONE -\r\n");
+    }
+    if (verb == "SET") {
+      values_[name] = rest;
+      return Ready("DONE -\r\n");
+    }
+    if (verb == "PREPARE") {
+      prepared_[name] = rest.substr(0, rest.find(' '));
+      return Ready("DONE -\r\n");
+    }
+    if (verb == "BEGIN") {
+      bool plain = name != "READ";
+      if (plain && !member_->leads) return Fail("READONLY");
+      state_ = 'T';
+      plain_ = plain;
+      return Ready("DONE -\r\n");
+    }
+    if (verb == "ROLLBACK") {
+      writes_.clear();
+      state_ = 'I';
+      return Ready("DONE -\r\n");
+    }
+    bool fenced = state_ == 'T' && plain_;
+    bool lost_lead = fenced && !member_->leads;
+    if (verb == "READ") {
+      if (lost_lead) return Fail("READONLY");
+      std::string settings;
+      for (const auto& [key, value] : values_) settings += key + "=" + value;
+      return Ready("ROW " + group_->Latest(name, member_->applied) + "|" +
+                   settings + "\r\nDONE sig\r\n");
+    }
+    if (verb == "WRITE") {
+      if (!member_->leads) return Fail("READONLY");
+      writes_.push_back({name, rest});
+      if (state_ == 'T') return Ready("DONE sig\r\n");
+      return Commit();
+    }
+    if (verb == "COMMIT") {
+      if (lost_lead && !writes_.empty()) return Fail("READONLY");
+      state_ = 'I';
+      if (writes_.empty()) return Ready("DONE sig\r\n");
+      return Commit();
+    }
+    Fail("MALFORMED");
+  }
+
+  void Commit() {
+    bool acknowledged = group_->Append(writes_);
+    writes_.clear();
+    if (!acknowledged || member_->mute_commits) return Read();
+    Ready("DONE sig\r\n");
+  }
+
+  std::string Status() const {
+    std::ostringstream row;
+    row << "ROW " << (member_->leads ? "primary" : "replica") << " "
+        << group_->term_ << " " << group_->term_ << "." << member_->received
+        << " " << member_->paused_below << " 0 0 1\r\nDONE -\r\n";
+    return row.str();
+  }
+
+  void Fail(const std::string& code) {
+    if (state_ == 'T') state_ = 'E';
+    Ready("ERR " + code + " -\r\n");
+  }
+
+  void Ready(const std::string& before) {
+    Send(before + "READY " + state_ + " " + std::to_string(group_->term_) +
+             "." + std::to_string(member_->applied) + "\r\n",
+         false);
+  }
+
+  void Send(std::string bytes, bool close) {
+    out_ = std::move(bytes);
+    std::shared_ptr<LineSession> self = shared_from_this();
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self, close](error_code error, size_t) {
+                        if (error || close) return self->Close();
+                        self->Read();
+                      });
+  }
+
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  LineGroup* group_;
+  LineMember* member_;
+  asio::streambuf in_;
+  std::string out_;
+  char state_ = 'I';
+  bool plain_ = false;
+  std::map<std::string, std::string> values_;
+  std::map<std::string, std::string> prepared_;
+  std::vector<LineGroup::Commit> writes_;
+};
+
+LineGroup::LineGroup(asio::io_context* io, std::string name, size_t members)
+    : io_(io), name_(std::move(name)) {
+  for (size_t i = 0; i < members; ++i) {
+    acceptors_.push_back(std::make_unique<tcp::acceptor>(
+        *io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
+    members_.push_back(std::make_unique<LineMember>());
+    members_[i]->id = EndpointId(name_ + "-" + std::to_string(i));
+    members_[i]->address =
+        Address{"127.0.0.1", acceptors_[i]->local_endpoint().port()};
+    members_[i]->leads = i == 0;
+    Accept(i);
+  }
+}
+
+LineGroup::~LineGroup() {
+  for (const std::shared_ptr<LineSession>& session : sessions_)
+    session->Orphan();
+}
+
+void LineGroup::Accept(size_t i) {
+  acceptors_[i]->async_accept([this, i](error_code error, tcp::socket socket) {
+    if (error) return;
+    std::shared_ptr<LineSession> session = std::make_shared<LineSession>(
+        std::move(socket), this, members_[i].get());
+    sessions_.insert(session);
+    session->Read();
+    Accept(i);
+  });
+}
+
+EndpointRecord LineGroup::Record(size_t i, const std::string& zone,
+                                 uint64_t sequence) const {
+  const LineMember& member = *members_[i];
+  EndpointRecord record;
+  record.id = member.id;
+  record.group = GroupId(name_);
+  record.address = member.address;
+  record.zone = Zone(zone);
+  record.slots = 2;
+  record.claims_lead = member.leads;
+  record.born_ms = 1;
+  record.sequence = sequence;
+  return record;
+}
+
+void LineGroup::Promote(const EndpointId& id) {
+  ++term_;
+  for (const std::unique_ptr<LineMember>& member : members_) {
+    member->leads = member->id == id;
+    member->paused_below = 0;
+    if (member->leads) log_.resize(member->received);
+  }
+}
+
+void LineGroup::Kill(size_t i) {
+  error_code ignored;
+  acceptors_[i]->close(ignored);
+  std::set<std::shared_ptr<LineSession>> sessions = sessions_;
+  for (const std::shared_ptr<LineSession>& session : sessions) {
+    if (session->member() == members_[i].get()) session->Close();
+  }
+}
+
+bool LineGroup::Append(const std::vector<Commit>& commits) {
+  log_.insert(log_.end(), commits.begin(), commits.end());
+  bool received = members_.size() == 1;
+  for (const std::unique_ptr<LineMember>& member : members_) {
+    if (!member->leads && member->paused_below > term_) continue;
+    member->received = log_.size();
+    if (!member->lags) member->applied = log_.size();
+    if (!member->leads) received = true;
+  }
+  return received;
+}
+
+size_t LineGroup::CountOf(const std::string& data) const {
+  return static_cast<size_t>(
+      std::count_if(log_.begin(), log_.end(),
+                    [&data](const Commit& c) { return c.data == data; }));
+}
+
+std::string LineGroup::Latest(const std::string& item, uint64_t applied) const {
+  for (size_t i = std::min<size_t>(applied, log_.size()); i > 0; --i) {
+    if (log_[i - 1].item == item) return log_[i - 1].data;
+  }
+  return "none";
+}
+
+}  // namespace cardamomchute
--- /dev/null
+++ b/relay/test/line_group.h
@@ -0,0 +1,82 @@
+/// A stand-in for one database group that speaks the line protocol, for tests:
+/// a primary and replicas on loopback, with faults to switch on.
+#ifndef CARDAMOMCHUTE_RELAY_TEST_LINE_GROUP_H_
+#define CARDAMOMCHUTE_RELAY_TEST_LINE_GROUP_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cardamomchute/policy/directory.h"
+
+namespace cardamomchute {
+
+class LineSession;
+
+/// What one endpoint of the group is, and how it misbehaves.
+struct LineMember {
+  EndpointId id;
+  Address address;
+  bool leads = false;
+  uint64_t received = 0;      ///< commits in its log
+  uint64_t applied = 0;       ///< commits that its reads see
+  uint64_t paused_below = 0;  ///< term; receives nothing below it
+  bool lags = false;          ///< receives, and does not apply
+  bool silent = false;        ///< reads, and answers nothing
+  bool mute_commits = false;  ///< runs commits and writes, loses the answers
+  std::vector<std::string> runs;  ///< "id text", as received from callers
+  size_t connections = 0;
+  size_t running = 0;      ///< statements under way
+  size_t most_running = 0;
+};
+
+class LineGroup {
+ public:
+  LineGroup(boost::asio::io_context* io, std::string name, size_t members);
+  ~LineGroup();
+
+  LineMember& member(size_t i) { return *members_[i]; }
+  size_t size() const { return members_.size(); }
+  /// The announcement of member i, in the zone given.
+  EndpointRecord Record(size_t i, const std::string& zone,
+                        uint64_t sequence) const;
+  /// As the platform does: the member leads the next term.
+  void Promote(const EndpointId& id);
+  /// Closes the listener and all connections of a member.
+  void Kill(size_t i);
+  /// Each statement takes this long.
+  void SetWork(Duration work) { work_ = work; }
+  uint64_t commits() const { return log_.size(); }
+  /// How many commits hold `data`.
+  size_t CountOf(const std::string& data) const;
+
+ private:
+  friend class LineSession;
+  struct Commit {
+    std::string item;
+    std::string data;
+  };
+
+  void Accept(size_t i);
+  /// False: no replica receives, so that it may not be acknowledged.
+  bool Append(const std::vector<Commit>& commits);
+  std::string Latest(const std::string& item, uint64_t applied) const;
+
+  boost::asio::io_context* io_;
+  std::string name_;
+  uint64_t term_ = 1;
+  Duration work_ = Millis(1);
+  std::vector<Commit> log_;
+  std::vector<std::unique_ptr<LineMember>> members_;
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
+  std::set<std::shared_ptr<LineSession>> sessions_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_RELAY_TEST_LINE_GROUP_H_
