--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -11,6 +11,7 @@
 #include "cardamomchute/platform/documents.h"
 #include "cardamomchute/platform/line_protocol.h"
 #include "cardamomchute/platform/routes.h"
+#include "cardamomchute/telemetry/health.h"
 
 namespace cardamomchute {
 namespace {
@@ -36,7 +37,8 @@
   control.on_push = [this](const DirectoryPush& push) { OnPush(push); };
   control.seeds = [this] {
     // The file may change without a signal.
-    if (std::optional<NodeSettings> now = reload_()) settings_.seeds = now->seeds;
+    if (std::optional<NodeSettings> now = reload_())
+      settings_.seeds = now->seeds;
     return settings_.seeds;
   };
   link_ = std::make_shared<ControlLink>(std::move(control));
@@ -47,6 +49,7 @@
   relay.zone = settings_.zone;
   relay.callers = *settings_.callers;
   relay.peers = settings_.peers;
+  relay.metrics = &metrics_;
   relay.caller_protocol = LineCallerProtocol();
   relay.endpoint_protocol = LineEndpointProtocol();
   relay.report = [this](const GroupId& group, const EndpointId& endpoint,
@@ -59,8 +62,15 @@
   BOOST_OUTCOME_TRYV(relay_->Start());
 
   http_ = std::make_unique<HttpServer>(&control_);
-  http_->AddRoutes(ReadyRoutes(
-      [this] { return layout_version_ > 0 && !draining_; }));
+  http_->AddRoutes(
+      ReadyRoutes([this] { return layout_version_ > 0 && !draining_; }));
+  http_->AddRoutes(HealthRoutes(
+      [this] {
+        if (draining_) return ReadyState{false, "draining"};
+        if (layout_version_ == 0) return ReadyState{false, "no layout yet"};
+        return ReadyState{true, "serving"};
+      },
+      &metrics_));
   BOOST_OUTCOME_TRYV(http_->Start(*settings_.ready));
   link_->Start();
   WaitForSignal();
--- a/apps/cardamomchuted/relay_node.h
+++ b/apps/cardamomchuted/relay_node.h
@@ -46,6 +46,7 @@
   std::unique_ptr<HttpServer> http_;
   uint64_t layout_version_ = 0;
   bool draining_ = false;
+  Metrics metrics_;
 };
 
 }  // namespace cardamomchute
--- a/apps/cardamomchuted/steward_node.cc
+++ b/apps/cardamomchuted/steward_node.cc
@@ -9,6 +9,7 @@
 #include "cardamomchute/platform/documents.h"
 #include "cardamomchute/platform/line_protocol.h"
 #include "cardamomchute/platform/routes.h"
+#include "cardamomchute/telemetry/health.h"
 
 namespace cardamomchute {
 namespace {
@@ -48,6 +49,16 @@
   BOOST_OUTCOME_TRYV(steward_->Start());
   http_ = std::make_unique<HttpServer>(&control_);
   http_->AddRoutes(ControlRoutes(steward_.get(), settings_.http->port));
+  http_->AddRoutes(HealthRoutes(
+      [this] {
+        metrics_.GetGauge("steward_leads").Set(steward_->leading() ? 1 : 0);
+        metrics_.GetGauge("steward_layout_version")
+            .Set(static_cast<int64_t>(steward_->layout_version()));
+        return ReadyState{steward_->in_touch(), steward_->in_touch()
+                                                    ? "in touch with the quorum"
+                                                    : "no leader is known"};
+      },
+      &metrics_));
   BOOST_OUTCOME_TRYV(http_->Start(*settings_.http));
   WaitForSignal();
   LogLine(LogLevel::kInfo, "started")
--- a/apps/cardamomchuted/steward_node.h
+++ b/apps/cardamomchuted/steward_node.h
@@ -9,6 +9,7 @@
 
 #include "cardamomchute/fleet/steward.h"
 #include "cardamomchute/http/http_server.h"
+#include "cardamomchute/telemetry/metrics.h"
 #include "relay_node.h"
 
 namespace cardamomchute {
@@ -30,6 +31,7 @@
   boost::asio::io_context control_{1};
   boost::asio::signal_set signals_;
   boost::asio::steady_timer timer_;
+  Metrics metrics_;
   std::unique_ptr<Steward> steward_;
   std::unique_ptr<HttpServer> http_;
   bool failed_ = false;
--- a/base/include/cardamomchute/base/log.h
+++ b/base/include/cardamomchute/base/log.h
@@ -14,8 +14,9 @@
 /// "debug", "info", "warn" or "error"; kInfo for anything else.
 LogLevel ParseLogLevel(std::string_view name);
 
-/// Sends log lines of at least `level` to standard error, each stamped with
-/// the time and `vm=`. Called once, before the first line.
+/// Sends log lines of at least `level` to standard output, each stamped with
+/// the time and `vm=`, as far as a LogSink takes them. Called once, before the
+/// first line; until then lines go nowhere.
 void StartLog(std::string_view vm, LogLevel level);
 
 bool LogEnabled(LogLevel level);
--- a/base/src/log.cc
+++ b/base/src/log.cc
@@ -1,13 +1,36 @@
 #include "cardamomchute/base/log.h"
 
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
+
+#include "cardamomchute/base/log_sink.h"
 
 namespace cardamomchute {
 namespace {
 
+/// log4cxx's way to a LogSink on standard output.
+class SinkAppender : public log4cxx::AppenderSkeleton {
+ public:
+  explicit SinkAppender(const log4cxx::LayoutPtr& layout)
+      : log4cxx::AppenderSkeleton(layout), sink_(STDOUT_FILENO) {}
+
+  void close() override {}
+  bool requiresLayout() const override { return true; }
+
+ protected:
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override {
+    log4cxx::LogString text;
+    getLayout()->format(text, event, pool);
+    sink_.Write(text, Now());
+  }
+
+ private:
+  LogSink sink_;
+};
+
 log4cxx::LoggerPtr Root() {
   static log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
   return logger;
@@ -54,8 +77,7 @@
   std::string pattern =
       "%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p vm=" + std::string(vm) + " %m%n";
   log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(pattern));
-  log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-      layout, log4cxx::ConsoleAppender::getSystemErr()));
+  log4cxx::AppenderPtr appender(new SinkAppender(layout));
   Root()->removeAllAppenders();
   Root()->addAppender(appender);
   Root()->setLevel(ToLevel(level));
--- a/fleet/include/cardamomchute/fleet/steward.h
+++ b/fleet/include/cardamomchute/fleet/steward.h
@@ -68,6 +68,8 @@
   /// The endpoint has left for good.
   bool Leave(const EndpointId& endpoint);
   bool leading() const { return host_ && host_->leading(); }
+  bool in_touch() const { return host_ && host_->InTouch(Now()); }
+  uint64_t layout_version() const { return layout_.version; }
 
  private:
   using LinkPtr = std::shared_ptr<Link>;
--- a/fleet/test/steward-test.cc
+++ b/fleet/test/steward-test.cc
@@ -53,7 +53,7 @@
 
 BOOST_AUTO_TEST_CASE(followers_send_callers_to_the_leader) {
   StewardCluster cluster(3);
-  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Leader(); }));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Leader().has_value(); }));
   size_t follower = (*cluster.Leader() + 1) % 3;
   std::optional<LayoutAnswer> answer;
   cluster.RunUntil([&] {
@@ -74,14 +74,13 @@
   }
   bool read = false;
   bool accepted = false;
-  cluster.At(leader)->GetLayout([&](const LayoutAnswer& a) {
-    read = a.outcome == CallOutcome::kDone;
-  });
-  cluster.At(leader)->PutLayout(LayoutText(2, "db"), [&](const LayoutAnswer& a) {
-    accepted = a.outcome == CallOutcome::kDone;
-  });
-  BOOST_TEST(
-      cluster.RunUntil([&] { return !cluster.At(leader)->leading(); }));
+  cluster.At(leader)->GetLayout(
+      [&](const LayoutAnswer& a) { read = a.outcome == CallOutcome::kDone; });
+  cluster.At(leader)->PutLayout(LayoutText(2, "db"),
+                                [&](const LayoutAnswer& a) {
+                                  accepted = a.outcome == CallOutcome::kDone;
+                                });
+  BOOST_TEST(cluster.RunUntil([&] { return !cluster.At(leader)->leading(); }));
   BOOST_TEST(!read);
   BOOST_TEST(!accepted);
   EndpointRecord record;
@@ -141,9 +140,8 @@
   EndpointRecord leaving = group.Record(0, "a", 2);
   leaving.leaving = true;
   BOOST_TEST(cluster.At(0)->Announce(leaving));
-  BOOST_TEST(cluster.RunUntil([&] {
-    return b.directory.endpoints.at(EndpointId("g1-0")).leaving;
-  }));
+  BOOST_TEST(cluster.RunUntil(
+      [&] { return b.directory.endpoints.at(EndpointId("g1-0")).leaving; }));
   BOOST_TEST(!a.went_back);
   BOOST_TEST(!b.went_back);
 }
@@ -238,8 +236,8 @@
   EndpointRecord leaving = s.group.Record(0, "a", ++s.sequence);
   leaving.leaving = true;
   BOOST_REQUIRE(s.cluster.At(0)->Announce(leaving));
-  BOOST_TEST(s.cluster.RunUntil(
-      [&] { return s.LeadIs("g1-1") || s.LeadIs("g1-2"); }));
+  BOOST_TEST(
+      s.cluster.RunUntil([&] { return s.LeadIs("g1-1") || s.LeadIs("g1-2"); }));
   BOOST_TEST(!s.group.member(0).leads);
 }
 
@@ -252,10 +250,10 @@
       s.cluster.RunUntil([&] { return s.cluster.orders.size() == 1; }));
   BOOST_REQUIRE(s.cluster.RunUntil([&] { return !s.LeadIs("g1-0"); }));
   size_t old_leader = *s.cluster.Leader();
-  std::string second =
-      LeadOf(s.listener->directory, GroupId("g1"))->id.value();
+  std::string second = LeadOf(s.listener->directory, GroupId("g1"))->id.value();
   s.cluster.Stop(old_leader);
-  BOOST_REQUIRE(s.cluster.RunUntil([&] { return s.cluster.Leader(); }));
+  BOOST_REQUIRE(
+      s.cluster.RunUntil([&] { return s.cluster.Leader().has_value(); }));
   EndpointRecord leaving;
   for (size_t i = 0; i < 3; ++i) {
     if (s.group.member(i).id.value() == second)
--- a/fleet/test/steward_cluster.h
+++ b/fleet/test/steward_cluster.h
@@ -59,13 +59,17 @@
       if (on_promote) return on_promote(order, std::move(done));
       done(PromoteOutcome::kUnclear);
     };
-    parts.on_failure = [](const Error& error) {
-      BOOST_FAIL(ToString(error));
-    };
+    parts.on_failure = [](const Error& error) { BOOST_FAIL(ToString(error)); };
     stewards_[i] = std::make_unique<Steward>(std::move(parts));
     BOOST_REQUIRE(stewards_[i]->Start());
   }
-  void Stop(size_t i) { stewards_[i] = nullptr; }
+  /// Its folder and port are free afterwards.
+  void Stop(size_t i) {
+    stewards_[i] = nullptr;
+    while (io.poll() > 0) {
+    }
+    io.restart();
+  }
   void Wipe(size_t i) { std::filesystem::remove_all(FolderOf(i)); }
   std::filesystem::path FolderOf(size_t i) const {
     return folder_ / std::to_string(i);
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -18,6 +18,7 @@
 #include "cardamomchute/relay/endpoint_pool.h"
 #include "cardamomchute/relay/protocol.h"
 #include "cardamomchute/relay/relay_mesh.h"
+#include "cardamomchute/relay/relay_metrics.h"
 
 namespace cardamomchute {
 
@@ -31,6 +32,7 @@
   Address peers;    ///< where other relays connect
   CallerProtocol caller_protocol;
   EndpointProtocol endpoint_protocol;
+  Metrics* metrics = nullptr;
   /// Tells control of an endpoint's trouble; runs on the traffic thread.
   std::function<void(const GroupId&, const EndpointId&, Trouble)> report;
 };
@@ -57,6 +59,7 @@
 
   // For sessions.
   const RelayParts& parts() const { return parts_; }
+  RelayMetrics& metrics() { return metrics_; }
   std::shared_ptr<const Layout> layout() const { return layout_; }
   bool draining() const { return draining_; }
   uint64_t NextRun() { return ++next_run_; }
@@ -97,6 +100,7 @@
   MeshHandlers Handlers();
 
   RelayParts parts_;
+  RelayMetrics metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer drain_timer_;
--- /dev/null
+++ b/relay/include/cardamomchute/relay/relay_metrics.h
@@ -0,0 +1,36 @@
+/// What a relay counts, looked up by name once.
+#ifndef CARDAMOMCHUTE_RELAY_RELAY_METRICS_H_
+#define CARDAMOMCHUTE_RELAY_RELAY_METRICS_H_
+
+#include <array>
+
+#include "cardamomchute/base/time.h"
+#include "cardamomchute/relay/statement.h"
+#include "cardamomchute/telemetry/metrics.h"
+
+namespace cardamomchute {
+
+class RelayMetrics {
+ public:
+  explicit RelayMetrics(Metrics* metrics);
+
+  void CountStatement(Outcome outcome, Rank rank, Duration spent);
+  /// Read by a replica, or by the leader for want of one.
+  void CountRead(bool replica);
+  void SetSessions(size_t sessions);
+
+ private:
+  static constexpr size_t kOutcomes =
+      static_cast<size_t>(Outcome::kUnknown) + 1;
+  static constexpr size_t kRanksTold = 4;
+
+  std::array<Counter*, kOutcomes> statements_;
+  std::array<LatencyHistogram*, kRanksTold> spent_;
+  Counter* replica_reads_;
+  Counter* leader_reads_;
+  Gauge* sessions_;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_RELAY_RELAY_METRICS_H_
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -40,6 +40,7 @@
 
 Relay::Relay(RelayParts parts)
     : parts_(std::move(parts)),
+      metrics_(parts_.metrics),
       acceptor_(*parts_.io),
       timer_(*parts_.io),
       drain_timer_(*parts_.io) {}
@@ -369,6 +370,7 @@
 
 void Relay::Sweep() {
   Time now = Now();
+  metrics_.SetSessions(sessions_.size());
   std::set<std::shared_ptr<RelayedSession>> sessions = sessions_;
   for (const std::shared_ptr<RelayedSession>& session : sessions)
     session->EndIdleTransaction(now);
--- /dev/null
+++ b/relay/src/relay_metrics.cc
@@ -0,0 +1,44 @@
+#include "cardamomchute/relay/relay_metrics.h"
+
+#include <algorithm>
+#include <string>
+
+namespace cardamomchute {
+namespace {
+
+constexpr int64_t kMicrosPerMilli = 1000;
+
+}  // namespace
+
+RelayMetrics::RelayMetrics(Metrics* metrics)
+    : replica_reads_(
+          &metrics->GetCounter("relay_reads_total", "from=\"replica\"")),
+      leader_reads_(
+          &metrics->GetCounter("relay_reads_total", "from=\"leader\"")),
+      sessions_(&metrics->GetGauge("relay_sessions")) {
+  for (size_t i = 0; i < kOutcomes; ++i) {
+    std::string outcome(ToString(static_cast<Outcome>(i)));
+    statements_[i] = &metrics->GetCounter("relay_statements_total",
+                                          "outcome=\"" + outcome + "\"");
+  }
+  for (size_t i = 0; i < kRanksTold; ++i) {
+    spent_[i] = &metrics->GetHistogram("relay_statement_micros",
+                                       "rank=\"" + std::to_string(i) + "\"");
+  }
+}
+
+void RelayMetrics::CountStatement(Outcome outcome, Rank rank, Duration spent) {
+  statements_[static_cast<size_t>(outcome)]->Add();
+  size_t told = std::min<size_t>(rank.value(), kRanksTold - 1);
+  spent_[told]->Record(spent.ms() * kMicrosPerMilli);
+}
+
+void RelayMetrics::CountRead(bool replica) {
+  (replica ? replica_reads_ : leader_reads_)->Add();
+}
+
+void RelayMetrics::SetSessions(size_t sessions) {
+  sessions_->Set(static_cast<int64_t>(sessions));
+}
+
+}  // namespace cardamomchute
--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -371,6 +371,11 @@
 
 void RelayedSession::LogEnd(const StatementResult& result,
                             const Target* target) {
+  relay_->metrics().CountStatement(result.outcome, route_->rank,
+                                   Now() - attempt_->started);
+  bool read = result.outcome == Outcome::kDone && !attempt_->writes &&
+              attempt_->statement.kind != CallerVerb::kCommit;
+  if (read && target != nullptr) relay_->metrics().CountRead(!target->leads);
   LogLevel level =
       result.outcome == Outcome::kDone ? LogLevel::kDebug : LogLevel::kInfo;
   if (!LogEnabled(level)) return;
