--- a/base/src/log.cc
+++ b/base/src/log.cc
@@ -14,20 +14,21 @@
 class SinkAppender : public log4cxx::AppenderSkeleton {
  public:
   explicit SinkAppender(const log4cxx::LayoutPtr& layout)
-      : log4cxx::AppenderSkeleton(layout), sink_(STDOUT_FILENO) {}
+      : layout_(layout), sink_(STDOUT_FILENO) {}
 
   void close() override {}
-  bool requiresLayout() const override { return true; }
+  bool requiresLayout() const override { return false; }
 
  protected:
   void append(const log4cxx::spi::LoggingEventPtr& event,
               log4cxx::helpers::Pool& pool) override {
     log4cxx::LogString text;
-    getLayout()->format(text, event, pool);
+    layout_->format(text, event, pool);
     sink_.Write(text, Now());
   }
 
  private:
+  log4cxx::LayoutPtr layout_;
   LogSink sink_;
 };
 
--- a/fleet/test/node_settings-test.cc
+++ b/fleet/test/node_settings-test.cc
@@ -60,8 +60,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(what_is_missing_or_wrong_is_named) {
-  for (const char* line : {"vm =", "zone =", "callers =", "peers =", "ready =",
-                           "seeds ="}) {
+  for (const char* line :
+       {"vm =", "zone =", "callers =", "peers =", "ready =", "seeds ="}) {
     NodeSettingsOutcome outcome = ParseNodeSettings(Without(kRelay, line));
     BOOST_TEST(!outcome.settings, line);
     BOOST_TEST(!outcome.faults.empty(), line);
--- a/fleet/test/steward-test.cc
+++ b/fleet/test/steward-test.cc
@@ -62,7 +62,7 @@
     return answer && answer->outcome == CallOutcome::kElsewhere;
   });
   BOOST_REQUIRE(answer);
-  BOOST_TEST(answer->leader == "127.0.0.1");
+  BOOST_TEST(answer->leader == cluster.AddressOf(*cluster.Leader()).host);
 }
 
 BOOST_AUTO_TEST_CASE(a_member_alone_is_sure_of_nothing) {
--- a/fleet/test/steward_cluster.h
+++ b/fleet/test/steward_cluster.h
@@ -32,7 +32,7 @@
     folder_ = std::filesystem::temp_directory_path() /
               ("steward-test-" + std::to_string(::getpid()) + "-" +
                std::to_string(++clusters_));
-    for (size_t i = 0; i < count; ++i) addresses_.push_back(FreeAddress());
+    for (size_t i = 0; i < count; ++i) addresses_.push_back(AddressAt(i));
     stewards_.resize(count);
     for (size_t i = 0; i < count; ++i) Start(i, true);
   }
@@ -112,11 +112,13 @@
   PromoteCall on_promote;
 
  private:
-  static Address FreeAddress() {
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor acceptor(
-        io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return Address{"127.0.0.1", acceptor.local_endpoint().port()};
+  /// Below the system's ephemeral ports, and hosts of this cluster's own, so
+  /// that nobody takes an address while its steward is down.
+  static Address AddressAt(size_t i) {
+    uint16_t port = static_cast<uint16_t>(15000 + ::getpid() % 8000);
+    return Address{"127.0." + std::to_string(40 + clusters_) + "." +
+                       std::to_string(10 + i),
+                   port};
   }
 
   LayoutAnswer Call(const std::function<void(size_t, LayoutDone)>& call) {
