--- a/apps/cardamomchuted/node.h
+++ b/apps/cardamomchuted/node.h
@@ -9,10 +9,10 @@
 
 #include "cardamomchute/base/error.h"
 #include "cardamomchute/base/settings.h"
+#include "cardamomchute/http/http_server.h"
 #include "cardamomchute/peers/control_agent.h"
 #include "cardamomchute/peers/control_member.h"
 #include "cardamomchute/telemetry/health.h"
-#include "cardamomchute/http/http_server.h"
 #include "cardamomchute/telemetry/metrics.h"
 #include "traffic.h"
 
--- a/callers/include/cardamomchute/callers/caller_server.h
+++ b/callers/include/cardamomchute/callers/caller_server.h
@@ -11,8 +11,8 @@
 #include "cardamomchute/base/error.h"
 #include "cardamomchute/base/ids.h"
 #include "cardamomchute/channel/channel.h"
-#include "cardamomchute/telemetry/metrics.h"
 #include "cardamomchute/policy/view.h"
+#include "cardamomchute/telemetry/metrics.h"
 
 namespace cardamomchute {
 
--- a/endpoints/include/cardamomchute/endpoints/owner.h
+++ b/endpoints/include/cardamomchute/endpoints/owner.h
@@ -10,8 +10,8 @@
 #include "cardamomchute/base/ids.h"
 #include "cardamomchute/channel/channel.h"
 #include "cardamomchute/peers/control_client.h"
-#include "cardamomchute/telemetry/metrics.h"
 #include "cardamomchute/policy/view.h"
+#include "cardamomchute/telemetry/metrics.h"
 
 namespace cardamomchute {
 
--- a/fleet/include/cardamomchute/fleet/node_settings.h
+++ b/fleet/include/cardamomchute/fleet/node_settings.h
@@ -33,7 +33,7 @@
   VmId vm;
   Zone zone;
   std::string log_level = "info";
-  Address peers;  ///< where relays and control members connect
+  Address peers;                   ///< where relays and control members connect
   std::optional<Address> callers;  ///< a relay's
   std::optional<Address> ready;    ///< a relay's
   std::optional<Address> http;     ///< a steward's
--- a/fleet/include/cardamomchute/fleet/succession_run.h
+++ b/fleet/include/cardamomchute/fleet/succession_run.h
@@ -20,7 +20,7 @@
 struct PromoteOrder {
   GroupId group;
   EndpointId endpoint;
-  VmId holder;             ///< who asks
+  VmId holder;               ///< who asks
   uint64_t fence_token = 0;  ///< rises with each holder and each new choice
 };
 
--- a/fleet/src/node_settings.cc
+++ b/fleet/src/node_settings.cc
@@ -80,8 +80,8 @@
   ReadListen(&top, &settings);
   ReadControl(&top, &settings);
   if (std::optional<TableReader> drain = top.Table("drain")) {
-    settings.grace =
-        Seconds(drain->Integer("grace_s", kGraceRangeS, settings.grace.ms() / 1000));
+    settings.grace = Seconds(
+        drain->Integer("grace_s", kGraceRangeS, settings.grace.ms() / 1000));
     drain->Finish();
   }
   top.Finish();
--- a/http/src/http_client.cc
+++ b/http/src/http_client.cc
@@ -37,13 +37,12 @@
 
   void Start(const asio::ip::address& host, Duration timeout) {
     stream_.expires_after(std::chrono::milliseconds(timeout.ms()));
-    stream_.async_connect(
-        tcp::endpoint(host, server_.port),
-        [self = shared_from_this()](error_code error) {
-          if (error) return self->Fail(error);
-          self->connected_ = true;
-          self->Write();
-        });
+    stream_.async_connect(tcp::endpoint(host, server_.port),
+                          [self = shared_from_this()](error_code error) {
+                            if (error) return self->Fail(error);
+                            self->connected_ = true;
+                            self->Write();
+                          });
   }
 
  private:
@@ -118,10 +117,9 @@
   asio::io_context io;
   Result<HttpResponse> outcome =
       Error{ErrorKind::kUnavailable, "not sent", "send again"};
-  StartHttpCall(io, HttpCall{server, method, target, body}, timeout,
-                [&outcome](Result<HttpResponse> answer) {
-                  outcome = std::move(answer);
-                });
+  StartHttpCall(
+      io, HttpCall{server, method, target, body}, timeout,
+      [&outcome](Result<HttpResponse> answer) { outcome = std::move(answer); });
   io.run();
   return outcome;
 }
--- a/operators/src/client.cc
+++ b/operators/src/client.cc
@@ -5,8 +5,8 @@
 #include <optional>
 #include <thread>
 
-#include "cardamomchute/operators/json.h"
 #include "cardamomchute/http/http_client.h"
+#include "cardamomchute/operators/json.h"
 
 namespace cardamomchute {
 namespace {
--- a/operators/src/http_api.cc
+++ b/operators/src/http_api.cc
@@ -7,8 +7,8 @@
 namespace {
 
 HttpResponse ErrorResponse(const Error& error) {
-  return HttpResponse{HttpStatusOf(error.kind), "application/json",
-                      EncodeError(error), {}};
+  return HttpResponse{
+      HttpStatusOf(error.kind), "application/json", EncodeError(error), {}};
 }
 
 /// Turns a result into the response that carries it.
--- a/operators/test/http_api-test.cc
+++ b/operators/test/http_api-test.cc
@@ -2,8 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "cardamomchute/operators/json.h"
 #include "cardamomchute/http/http_client.h"
+#include "cardamomchute/operators/json.h"
 #include "fake_operator_api.h"
 
 namespace cardamomchute {
--- a/peers/include/cardamomchute/peers/control_messages.h
+++ b/peers/include/cardamomchute/peers/control_messages.h
@@ -120,8 +120,8 @@
 };
 
 using ControlMessage =
-    std::variant<MemberHello, AgentHello, Renew, Granted,
-                 Redirect, ViewPush, SoftPush, Call, CallAnswer>;
+    std::variant<MemberHello, AgentHello, Renew, Granted, Redirect, ViewPush,
+                 SoftPush, Call, CallAnswer>;
 
 }  // namespace cardamomchute
 
--- a/peers/src/control_calls.cc
+++ b/peers/src/control_calls.cc
@@ -94,17 +94,17 @@
 void ControlLeader::Run(const LinkPtr& link, uint64_t id,
                         const HistoryCall& call) {
   AfterRound(link, [this, link, id, call] {
-                       SendAnswer(link, id,
-                                  Pack(ToStored(FindEnvironment(
-                                      member_.state_, call.environment))));
-                     });
+    SendAnswer(
+        link, id,
+        Pack(ToStored(FindEnvironment(member_.state_, call.environment))));
+  });
 }
 
 void ControlLeader::Run(const LinkPtr& link, uint64_t id,
                         const StatusCall& call) {
   AfterRound(link, [this, link, id, call] {
-                       SendAnswer(link, id, Pack(MakeStatus(call.environment)));
-                     });
+    SendAnswer(link, id, Pack(MakeStatus(call.environment)));
+  });
 }
 
 StatusResult ControlLeader::MakeStatus(const Environment& environment) const {
--- a/peers/src/control_leader.cc
+++ b/peers/src/control_leader.cc
@@ -56,11 +56,9 @@
 
 // ---- rounds and leases ---------------------------------------------------
 
-void ControlLeader::AfterRound(const LinkPtr& link,
-                               std::function<void()> run) {
-  rounds_.Add({std::move(run), [member = &member_, link] {
-                 member->SendRedirect(link);
-               }});
+void ControlLeader::AfterRound(const LinkPtr& link, std::function<void()> run) {
+  rounds_.Add({std::move(run),
+               [member = &member_, link] { member->SendRedirect(link); }});
 }
 
 void ControlLeader::OnRenew(const LinkPtr& link, const Renew& renew) {
--- a/peers/src/link.cc
+++ b/peers/src/link.cc
@@ -143,9 +143,8 @@
       return self->Lose("peer silent for " +
                         std::to_string((now - self->last_read_).ms()) + " ms");
     }
-    bool idle =
-        self->writing_.empty() &&
-        now - self->last_write_ >= self->timing_.heartbeat / 2;
+    bool idle = self->writing_.empty() &&
+                now - self->last_write_ >= self->timing_.heartbeat / 2;
     if (idle) self->Send(FrameType::kHeartbeat, "");
     self->Tick();
   });
--- a/peers/src/quorum_membership.cc
+++ b/peers/src/quorum_membership.cc
@@ -52,10 +52,11 @@
 /// Lets a silent voter go that a newer member has replaced.
 std::optional<QuorumConfig> QuorumHost::WithoutReplaced(Time now) const {
   if (settings_.replace_after <= Duration()) return std::nullopt;
-  for (const auto& [id, progress] : quorum_.progress) {
+  for (const auto& entry : quorum_.progress) {
+    const MemberId& id = entry.first;
     auto info = quorum_.config.members.find(id);
     if (id == quorum_.self || info == quorum_.config.members.end()) continue;
-    Time last = std::max(progress.last_answer, reign_start_);
+    Time last = std::max(entry.second.last_answer, reign_start_);
     Duration silent = now - last;
     if (silent < settings_.replace_after) continue;
     bool replaced =
--- a/peers/test/record_file-test.cc
+++ b/peers/test/record_file-test.cc
@@ -11,9 +11,8 @@
 BOOST_AUTO_TEST_SUITE(record_file)
 
 BOOST_AUTO_TEST_CASE(what_is_written_is_read_and_torn_bytes_are_not) {
-  std::filesystem::path folder =
-      std::filesystem::temp_directory_path() /
-      ("record-file-" + std::to_string(::getpid()));
+  std::filesystem::path folder = std::filesystem::temp_directory_path() /
+                                 ("record-file-" + std::to_string(::getpid()));
   std::filesystem::create_directories(folder);
   std::filesystem::path path = folder / "copy";
   BOOST_TEST(!ReadRecordFile(path));
--- a/policy/src/layout.cc
+++ b/policy/src/layout.cc
@@ -26,7 +26,8 @@
       return Broken(route, "has no time for a statement",
                     "give it a timeout above zero");
     if (!seen.insert({route.database, route.scope}).second)
-      return Broken(route, "stands twice", "keep one route a database and scope");
+      return Broken(route, "stands twice",
+                    "keep one route a database and scope");
   }
   return Ok();
 }
--- a/policy/test/succession-test.cc
+++ b/policy/test/succession-test.cc
@@ -28,19 +28,17 @@
 BOOST_AUTO_TEST_SUITE(succession)
 
 BOOST_AUTO_TEST_CASE(nobody_is_promoted_before_all_replicas_are_paused) {
-  SuccessionVerdict verdict =
-      NextStep({Silent("p"), Member("a", false, 1, 9, 0),
-                Member("b", false, 1, 7, 2)},
-               kLead);
+  SuccessionVerdict verdict = NextStep(
+      {Silent("p"), Member("a", false, 1, 9, 0), Member("b", false, 1, 7, 2)},
+      kLead);
   BOOST_TEST((verdict.step == SuccessionStep::kPause));
   BOOST_TEST(verdict.term.value() == 2u);
 }
 
 BOOST_AUTO_TEST_CASE(the_one_that_received_most_follows) {
-  SuccessionVerdict verdict =
-      NextStep({Silent("p"), Member("a", false, 1, 7, 2),
-                Member("b", false, 1, 9, 2)},
-               kLead);
+  SuccessionVerdict verdict = NextStep(
+      {Silent("p"), Member("a", false, 1, 7, 2), Member("b", false, 1, 9, 2)},
+      kLead);
   BOOST_TEST((verdict.step == SuccessionStep::kPromote));
   BOOST_TEST(verdict.endpoint.value() == "b");
 }
@@ -63,18 +61,16 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_pause_of_an_earlier_term_does_not_count) {
-  SuccessionVerdict verdict =
-      NextStep({Member("a", false, 3, 9, 3), Member("b", false, 3, 9, 4)},
-               kLead);
+  SuccessionVerdict verdict = NextStep(
+      {Member("a", false, 3, 9, 3), Member("b", false, 3, 9, 4)}, kLead);
   BOOST_TEST((verdict.step == SuccessionStep::kPause));
   BOOST_TEST(verdict.term.value() == 4u);
 }
 
 BOOST_AUTO_TEST_CASE(a_promotion_carried_out_late_is_adopted) {
-  SuccessionVerdict verdict =
-      NextStep({Silent("p"), Member("a", true, 2, 9, 0),
-                Member("b", false, 1, 9, 2)},
-               kLead);
+  SuccessionVerdict verdict = NextStep(
+      {Silent("p"), Member("a", true, 2, 9, 0), Member("b", false, 1, 9, 2)},
+      kLead);
   BOOST_TEST((verdict.step == SuccessionStep::kAdopt));
   BOOST_TEST(verdict.endpoint.value() == "a");
 }
@@ -120,8 +116,8 @@
       if (draw(3) == 0) paused[next] = true;
       std::vector<MemberAnswer> answers = {Silent("p")};
       for (size_t i = 0; i < received.size(); ++i) {
-        answers.push_back(Member("r" + std::to_string(i), false, 1,
-                                 received[i], paused[i] ? 2 : 0));
+        answers.push_back(Member("r" + std::to_string(i), false, 1, received[i],
+                                 paused[i] ? 2 : 0));
       }
       SuccessionVerdict verdict = NextStep(answers, kLead);
       if (verdict.step != SuccessionStep::kPromote) continue;
--- a/relay/include/cardamomchute/relay/command_connection.h
+++ b/relay/include/cardamomchute/relay/command_connection.h
@@ -31,7 +31,7 @@
   using OnAnswer = std::function<void(const CommandAnswer&)>;
 
   CommandConnection(boost::asio::any_io_executor executor,
-                     const EndpointProtocol* protocol);
+                    const EndpointProtocol* protocol);
 
   /// Connects and greets. `done` gets kDone, or why not: what the endpoint
   /// said, kUnreachable if nothing listens, kTimeout if nothing answers.
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -330,8 +330,9 @@
   if (holder.port != 0)
     return mesh_->Run(holder, std::move(request), wrote, std::move(noted));
   SessionKey key{parts_.vm, request.session};
-  PoolOf(endpoint, request.group, request.address)
-      ->Submit(std::move(request), key, std::move(noted));
+  std::shared_ptr<EndpointPool> pool =
+      PoolOf(endpoint, request.group, request.address);
+  pool->Submit(std::move(request), key, std::move(noted));
 }
 
 void Relay::Abandon(const Target& target, const AbandonRun& abandon) {
--- a/relay/src/relayed_session.h
+++ b/relay/src/relayed_session.h
@@ -18,7 +18,7 @@
 class RelayedSession : public std::enable_shared_from_this<RelayedSession> {
  public:
   RelayedSession(boost::asio::ip::tcp::socket socket, Relay* relay,
-                uint64_t number);
+                 uint64_t number);
 
   void Start();
   /// Closes unless a transaction is open or a statement is under way.
--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -48,10 +48,9 @@
 
   /// The answers arrive in `answers`, in the order of their arrival.
   void Submit(RunRequest request, const std::string& caller = "a") {
-    pool->Submit(std::move(request), SessionKey{VmId(caller), 1},
-                 [this](RunAnswer answer) {
-                   answers.push_back(std::move(answer));
-                 });
+    pool->Submit(
+        std::move(request), SessionKey{VmId(caller), 1},
+        [this](RunAnswer answer) { answers.push_back(std::move(answer)); });
   }
 
   RunAnswer Run(RunRequest request, const std::string& caller = "a") {
@@ -64,7 +63,8 @@
 
   bool RunUntil(const std::function<bool()>& done) {
     Time limit = Now() + Seconds(10);
-    while (!done() && Now() < limit) io.run_one_for(std::chrono::milliseconds(20));
+    while (!done() && Now() < limit)
+      io.run_one_for(std::chrono::milliseconds(20));
     return done();
   }
 
@@ -205,7 +205,8 @@
   BOOST_TEST(runs[2].find("intime") != std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(a_write_whose_answer_is_lost_is_unknown_and_not_sent_again) {
+BOOST_AUTO_TEST_CASE(
+    a_write_whose_answer_is_lost_is_unknown_and_not_sent_again) {
   Fixture f;
   f.group.member(0).mute_commits = true;
   RunRequest write = f.Request(RunStep::kSingle, "WRITE k once");
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -69,8 +69,8 @@
     if (word == "CONNECT") {
       std::string name, who, id;
       words >> name >> who >> id;
-      bool wrong = name != group_->name_ ||
-                   (!id.empty() && id != member_->id.value());
+      bool wrong =
+          name != group_->name_ || (!id.empty() && id != member_->id.value());
       if (wrong) return Send("ERR MISROUTED -\r\n", true);
       return Ready("");
     }
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -31,7 +31,7 @@
   bool mute_commits = false;  ///< runs commits and writes, loses the answers
   std::vector<std::string> runs;  ///< "id text", as received from callers
   size_t connections = 0;
-  size_t running = 0;      ///< statements under way
+  size_t running = 0;  ///< statements under way
   size_t most_running = 0;
 };
 
