Replace a lead whose replicas all lag beyond what reads may miss

Cause: a burst of apply lag (replica_lag) leaves both replicas of a group seconds behind, and, since a log is applied in order, for long after the lag itself is over. Ruled out: the floors asked for (the replicas themselves say LAGGING, with floors as old as the routes allow); holders' queues. Change: holders report a replica that lacks a position no younger than the staleness allows; if every replica lags beyond the strictest route, and one that stays has received all, the lead changes as for a lead that leaves. What was received counts once it leads; the former lead has nothing to apply.

--- a/fleet/include/cardamomchute/fleet/steward.h
+++ b/fleet/include/cardamomchute/fleet/steward.h
@@ -96,6 +96,7 @@
   void OnFrame(const LinkPtr& link, std::string_view body);
   void OnRelayReport(const LinkPtr& link, const RelayReport& report);
   void OnTrouble(const TroubleReport& report);
+  void OnLagging(const TroubleReport& report);
   void ServeWaiting(Time now, bool in_touch);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
   void SendWhole(const LinkPtr& link, uint64_t known_version);
@@ -128,6 +129,7 @@
   std::map<GroupId, std::shared_ptr<SuccessionRun>> successions_;
   std::map<GroupId, Time> next_review_;
   std::map<GroupId, Time> lead_set_;
+  std::map<GroupId, Time> next_lag_look_;
   Time next_cache_;
   bool cache_due_ = false;
   uint64_t changes_ = 0;  ///< of leads in this reign
--- a/fleet/include/cardamomchute/fleet/succession_run.h
+++ b/fleet/include/cardamomchute/fleet/succession_run.h
@@ -38,7 +38,8 @@
   kReview,   ///< announcements contradict each other
   kTrouble,  ///< a holder of connections cannot reach the lead
   kStalled,  ///< the lead answers, and no write ends
-  kLeaving   ///< the lead is about to go
+  kLeaving,  ///< the lead is about to go
+  kLagging   ///< no replica is fresh enough for reads
 };
 
 std::string_view ToString(SuccessionCause cause);
@@ -49,6 +50,8 @@
   GroupId group;
   EndpointId lead;  ///< empty: not known
   SuccessionCause cause = SuccessionCause::kReview;
+  /// kLagging: a replica that lags more serves hardly any read.
+  Duration lag_bound;
   VmId holder;
   /// The endpoints that count, as they are known now.
   std::function<std::vector<EndpointRecord>()> members;
@@ -96,7 +99,6 @@
   std::map<EndpointId, std::shared_ptr<CommandConnection>> connections_;
   Time started_;
   bool stopped_ = false;
-  bool paused_ = false;
   std::optional<PromoteOrder> order_;
   EndpointRecord chosen_;
   Time called_;
--- a/fleet/src/steward_leads.cc
+++ b/fleet/src/steward_leads.cc
@@ -16,6 +16,10 @@
 /// A claim to lead counts while its endpoint still announces itself.
 constexpr Duration kClaimValid = Millis(2500);
 constexpr Duration kContradictionPause = Seconds(2);
+/// Between two looks at how far a group's replicas lag.
+constexpr Duration kLagPause = Millis(500);
+/// After a lead was changed for the sake of reads.
+constexpr Duration kLagPauseChanged = Seconds(5);
 /// Tokens of one reign are below those of the next.
 constexpr uint64_t kTokensPerReign = 1 << 20;
 
@@ -89,6 +93,7 @@
                   PackVariant(FleetMessage(report)));
     return;
   }
+  if (report.trouble == Trouble::kLagging) return OnLagging(report);
   const EndpointRecord* lead = LeadOf(directory_, report.group);
   bool of_lead = lead != nullptr && lead->id == report.endpoint;
   if (!of_lead || successions_.contains(report.group)) return;
@@ -104,6 +109,17 @@
                                     : SuccessionCause::kTrouble);
 }
 
+/// A replica lags beyond what reads may miss. If all do, the lead carries all
+/// reads; it is replaced, as what a replica received counts as soon as it
+/// leads, and the former lead has nothing left to apply.
+void Steward::OnLagging(const TroubleReport& report) {
+  std::optional<Duration> bound = LeastStaleness(*parsed_, report.group);
+  if (!bound || successions_.contains(report.group)) return;
+  if (Now() < next_lag_look_[report.group]) return;
+  next_lag_look_[report.group] = Now() + kLagPause;
+  StartSuccession(report.group, SuccessionCause::kLagging);
+}
+
 void Steward::SetLead(const GroupId& group, const EndpointId& endpoint,
                       Term term) {
   auto known = directory_.leads.find(group);
@@ -117,6 +133,9 @@
   lead.change = ++changes_;
   lead.term = term;
   lead_set_[group] = Now();
+  bool moved =
+      known != directory_.leads.end() && known->second.endpoint != endpoint;
+  if (moved) next_lag_look_[group] = Now() + kLagPauseChanged;
   LogLine(LogLevel::kInfo, "lead_set")
       .Field("group", group)
       .Field("endpoint", endpoint)
@@ -137,6 +156,8 @@
   auto lead = directory_.leads.find(group);
   if (lead != directory_.leads.end()) parts.lead = lead->second.endpoint;
   parts.cause = cause;
+  if (cause == SuccessionCause::kLagging)
+    parts.lag_bound = *LeastStaleness(*parsed_, group);
   parts.holder = parts_.name;
   parts.members = [this, group] { return CountedMembers(group); };
   parts.next_token = [this] {
--- a/fleet/src/succession_run.cc
+++ b/fleet/src/succession_run.cc
@@ -33,6 +33,8 @@
       return "stalled";
     case SuccessionCause::kLeaving:
       return "leaving";
+    case SuccessionCause::kLagging:
+      return "lagging";
   }
   return "review";
 }
@@ -186,6 +188,7 @@
     out.term = status.value().term;
     out.received = status.value().received;
     out.paused_below = status.value().paused_below;
+    out.lag = Millis(static_cast<int64_t>(status.value().lag_ms));
     finish(out);
   });
 }
@@ -208,12 +211,15 @@
         .Field("leads", answer.leads)
         .Field("term", answer.term)
         .Field("received", ToString(answer.received))
-        .Field("paused_below", answer.paused_below);
+        .Field("paused_below", answer.paused_below)
+        .Field("lag_ms", answer.lag.ms());
   }
   std::optional<MemberAnswer> leader = LeaderAmong(answers);
   bool current = leader && leader->term >= NewestTerm(answers);
   bool must_go = parts_.cause == SuccessionCause::kStalled ||
-                 parts_.cause == SuccessionCause::kLeaving;
+                 parts_.cause == SuccessionCause::kLeaving ||
+                 (parts_.cause == SuccessionCause::kLagging &&
+                  ReadersLost(answers, parts_.lead, parts_.lag_bound));
   bool keep = current && !(must_go && leader->endpoint.id == parts_.lead);
   if (keep) return Keep(answers, *leader);
   Decide(answers);
@@ -255,7 +261,6 @@
 }
 
 void SuccessionRun::PauseAll(Term term) {
-  paused_ = true;
   std::shared_ptr<SuccessionRun> self = shared_from_this();
   AskAll(CommandKind::kPause, term, false, [self](Answers answers) {
     // The lead was not asked: it may be silent.
--- a/fleet/test/steward-test.cc
+++ b/fleet/test/steward-test.cc
@@ -231,6 +231,30 @@
              s.cluster.orders[1].fence_token);
 }
 
+std::string BoundedLayoutText(uint64_t version) {
+  std::string text = LayoutText(version, "db");
+  std::string plain = "\"type\":\"primary\"";
+  return text.replace(text.find(plain), plain.size(),
+                      "\"type\":\"bounded\",\"maxStalenessMs\":1500");
+}
+
+BOOST_AUTO_TEST_CASE(a_lead_whose_replicas_all_lag_hands_over) {
+  Succession s;
+  BOOST_REQUIRE((s.cluster.Put(BoundedLayoutText(2)) == CallOutcome::kDone));
+  s.group.member(1).lag_ms = 4000;
+  s.group.member(2).lag_ms = 20;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  GroupId group("g1");
+  s.listener->link->Report(group, EndpointId("g1-1"), Trouble::kLagging);
+  s.cluster.RunUntil([] { return false; }, Seconds(1));
+  BOOST_TEST(s.cluster.orders.empty());
+  s.group.member(2).lag_ms = 4000;
+  s.listener->link->Report(group, EndpointId("g1-2"), Trouble::kLagging);
+  BOOST_TEST(
+      s.cluster.RunUntil([&] { return s.LeadIs("g1-1") || s.LeadIs("g1-2"); }));
+  BOOST_TEST(s.cluster.orders.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_primary_hands_over) {
   Succession s;
   EndpointRecord leaving = s.group.Record(0, "a", ++s.sequence);
--- a/policy/include/cardamomchute/policy/layout.h
+++ b/policy/include/cardamomchute/policy/layout.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,11 @@
 /// The route of `database`; null when there is none.
 const RouteSpec* FindRoute(const Layout& layout, const DatabaseName& database);
 
+/// The strictest staleness that a route to `group` asks of replicas; nothing
+/// if none reads there.
+std::optional<Duration> LeastStaleness(const Layout& layout,
+                                       const GroupId& group);
+
 }  // namespace cardamomchute
 
 #endif  // CARDAMOMCHUTE_POLICY_LAYOUT_H_
--- a/policy/include/cardamomchute/policy/succession.h
+++ b/policy/include/cardamomchute/policy/succession.h
@@ -22,6 +22,7 @@
   Term term;
   Floor received;
   Term paused_below;
+  Duration lag;  ///< how far what its reads see is behind what it received
 };
 
 enum class SuccessionStep : uint8_t {
@@ -49,6 +50,12 @@
 SuccessionVerdict NextStep(const std::vector<MemberAnswer>& all,
                            const EndpointId& lead);
 
+/// Whether another lead would give the group back a replica that serves reads:
+/// all replicas lag beyond `bound`, which a former lead does not, and one that
+/// stays has received what the lead has.
+bool ReadersLost(const std::vector<MemberAnswer>& all, const EndpointId& lead,
+                 Duration bound);
+
 }  // namespace cardamomchute
 
 #endif  // CARDAMOMCHUTE_POLICY_SUCCESSION_H_
--- a/policy/src/layout.cc
+++ b/policy/src/layout.cc
@@ -39,4 +39,14 @@
   return it == layout.routes.end() ? nullptr : &*it;
 }
 
+std::optional<Duration> LeastStaleness(const Layout& layout,
+                                       const GroupId& group) {
+  std::optional<Duration> least;
+  for (const RouteSpec& route : layout.routes) {
+    if (route.group != group || route.rule == ReadRule::kPrimary) continue;
+    least = std::min(least.value_or(route.max_staleness), route.max_staleness);
+  }
+  return least;
+}
+
 }  // namespace cardamomchute
--- a/policy/src/succession.cc
+++ b/policy/src/succession.cc
@@ -4,6 +4,12 @@
 #include <tuple>
 
 namespace cardamomchute {
+namespace {
+
+/// Commits that may be between a lead and a replica that receives.
+constexpr uint64_t kCommitsOnTheWay = 20;
+
+}  // namespace
 
 std::optional<MemberAnswer> LeaderAmong(const std::vector<MemberAnswer>& all) {
   std::optional<MemberAnswer> leader;
@@ -61,4 +67,22 @@
   return verdict;
 }
 
+bool ReadersLost(const std::vector<MemberAnswer>& all, const EndpointId& lead,
+                 Duration bound) {
+  std::optional<MemberAnswer> leader = LeaderAmong(all);
+  if (!leader || leader->endpoint.id != lead) return false;
+  bool successor = false;
+  for (const MemberAnswer& answer : all) {
+    if (answer.endpoint.id == lead) continue;
+    if (!answer.answered) return false;
+    if (answer.endpoint.leaving) continue;
+    if (answer.lag <= bound) return false;
+    bool has_all = answer.received.term == leader->received.term &&
+                   answer.received.position.value() + kCommitsOnTheWay >=
+                       leader->received.position.value();
+    successor = successor || has_all;
+  }
+  return successor;
+}
+
 }  // namespace cardamomchute
--- a/policy/test/layout-test.cc
+++ b/policy/test/layout-test.cc
@@ -43,6 +43,23 @@
   BOOST_TEST(FindRoute(layout, DatabaseName("nodb")) == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(the_strictest_staleness_is_of_routes_that_read_replicas) {
+  Layout layout;
+  RouteSpec route;
+  route.group = GroupId("g");
+  route.rule = ReadRule::kPrimary;
+  layout.routes.push_back(route);
+  BOOST_TEST(!LeastStaleness(layout, GroupId("g")));
+  route.rule = ReadRule::kSession;
+  route.max_staleness = Millis(2500);
+  layout.routes.push_back(route);
+  route.rule = ReadRule::kBounded;
+  route.max_staleness = Millis(1500);
+  layout.routes.push_back(route);
+  BOOST_TEST(LeastStaleness(layout, GroupId("g"))->ms() == 1500);
+  BOOST_TEST(!LeastStaleness(layout, GroupId("other")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/policy/test/succession-test.cc
+++ b/policy/test/succession-test.cc
@@ -25,8 +25,42 @@
 
 const EndpointId kLead("p");
 
+MemberAnswer Lagging(const std::string& id, uint64_t received, int64_t ms) {
+  MemberAnswer answer = Member(id, false, 1, received, 0);
+  answer.lag = Millis(ms);
+  return answer;
+}
+
 BOOST_AUTO_TEST_SUITE(succession)
 
+BOOST_AUTO_TEST_CASE(a_lead_is_changed_for_its_readers_only_if_all_lag) {
+  MemberAnswer lead = Member("p", true, 1, 40, 0);
+  Duration bound = Millis(1500);
+  BOOST_TEST(ReadersLost({lead, Lagging("a", 40, 4000), Lagging("b", 39, 1600)},
+                         kLead, bound));
+  BOOST_TEST(!ReadersLost(
+      {lead, Lagging("a", 40, 4000), Lagging("b", 40, 1500)}, kLead, bound));
+  // One that does not answer may hold commits, or serve reads.
+  BOOST_TEST(
+      !ReadersLost({lead, Lagging("a", 40, 4000), Silent("b")}, kLead, bound));
+  BOOST_TEST(!ReadersLost({lead}, kLead, bound));
+}
+
+BOOST_AUTO_TEST_CASE(readers_get_no_lead_that_lacks_commits_or_leaves) {
+  MemberAnswer lead = Member("p", true, 1, 400, 0);
+  Duration bound = Millis(1500);
+  BOOST_TEST(!ReadersLost(
+      {lead, Lagging("a", 300, 4000), Lagging("b", 310, 4000)}, kLead, bound));
+  MemberAnswer leaving = Lagging("a", 400, 4000);
+  leaving.endpoint.leaving = true;
+  BOOST_TEST(
+      !ReadersLost({lead, leaving, Lagging("b", 300, 4000)}, kLead, bound));
+  // Another endpoint leads by now.
+  MemberAnswer other = Member("a", true, 2, 400, 0);
+  BOOST_TEST(
+      !ReadersLost({lead, other, Lagging("b", 400, 4000)}, kLead, bound));
+}
+
 BOOST_AUTO_TEST_CASE(nobody_is_promoted_before_all_replicas_are_paused) {
   SuccessionVerdict verdict = NextStep(
       {Silent("p"), Member("a", false, 1, 9, 0), Member("b", false, 1, 7, 2)},
--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -36,7 +36,8 @@
   kRefused,  ///< nothing listens there
   kSilent,   ///< it accepts, or accepted, and does not answer
   kStalled,  ///< it answers reads, and no write ends
-  kNotLeader
+  kNotLeader,
+  kLagging  ///< a replica is behind what reads may miss
 };
 
 std::string_view ToString(Trouble trouble);
@@ -95,6 +96,7 @@
     Time deadline;
     bool late = false;  ///< waits behind those that can still be in time
     std::optional<Floor> at_least;
+    bool by_age = false;  ///< `at_least` follows from the staleness allowed
     bool fenced = false;
   };
   struct Held {
@@ -152,6 +154,7 @@
   void ExpireRunning(Time now);
   void VerifyIdle(Time now);
   void WatchForTrouble(Time now);
+  void ReportAnswer(const Job& job, Outcome outcome);
   void Report(Trouble trouble, Time now);
   void ServeFloorWaiters(Time now, bool give_up);
 
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -26,6 +26,8 @@
       return "stalled";
     case Trouble::kNotLeader:
       return "not_leader";
+    case Trouble::kLagging:
+      return "lagging";
   }
   return "silent";
 }
@@ -114,6 +116,7 @@
     return bounds_.leads;
   }
   job->at_least = std::max(*floor, request.floor);
+  job->by_age = *floor >= request.floor;
   KeepFloor();
   return true;
 }
@@ -482,8 +485,7 @@
       *failed = true;
       std::unique_ptr<Job> job = std::move(on->job);
       --self->running_;
-      if (answer.outcome == Outcome::kReadOnly && self->bounds_.leads)
-        self->Report(Trouble::kNotLeader, Now());
+      self->ReportAnswer(*job, answer.outcome);
       if (begin) {
         self->EndRun(on, answer.state);
       } else {
@@ -550,8 +552,7 @@
   if (done && ((request.writes && !commit) || (plain_run && !commit)))
     NoteProof(held, answer);
   if (request.writes || (commit && held->wrote)) last_write_done_ = now;
-  if (answer.outcome == Outcome::kReadOnly && bounds_.leads)
-    Report(Trouble::kNotLeader, now);
+  ReportAnswer(*job, answer.outcome);
 
   RunAnswer out;
   out.outcome = answer.outcome;
--- a/relay/src/endpoint_pool_watch.cc
+++ b/relay/src/endpoint_pool_watch.cc
@@ -158,6 +158,14 @@
   }
 }
 
+/// What an answer tells of the endpoint's part in its group.
+void EndpointPool::ReportAnswer(const Job& job, Outcome outcome) {
+  if (outcome == Outcome::kReadOnly && bounds_.leads)
+    Report(Trouble::kNotLeader, Now());
+  if (outcome == Outcome::kLagging && job.by_age)
+    Report(Trouble::kLagging, Now());
+}
+
 void EndpointPool::Report(Trouble trouble, Time now) {
   if (now - last_report_ < kReportInterval) return;
   last_report_ = now;
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -188,7 +188,8 @@
     std::ostringstream row;
     row << "ROW " << (member_->leads ? "primary" : "replica") << " "
         << group_->term_ << " " << group_->term_ << "." << member_->received
-        << " " << member_->paused_below << " 0 0 1\r\nDONE -\r\n";
+        << " " << member_->paused_below << " " << member_->lag_ms
+        << " 0 1\r\nDONE -\r\n";
     return row.str();
   }
 
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -27,6 +27,7 @@
   uint64_t applied = 0;       ///< commits that its reads see
   uint64_t paused_below = 0;  ///< term; receives nothing below it
   bool lags = false;          ///< receives, and does not apply
+  uint64_t lag_ms = 0;        ///< what it says of itself
   bool silent = false;        ///< reads, and answers nothing
   bool mute_commits = false;  ///< runs commits and writes, loses the answers
   std::vector<std::string> runs;  ///< "id text", as received from callers
