--- /dev/null
+++ b/base/src/asio.cc
@@ -0,0 +1,2 @@
+/// Asio's own code, compiled once for all packages.
+#include <boost/asio/impl/src.hpp>
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -2,7 +2,8 @@
 
 add_compile_options(-Wall -Wextra -Wno-unused-parameter -Wno-missing-field-initializers -include utility)
 add_compile_definitions(
-  BOOST_BIND_GLOBAL_PLACEHOLDERS BOOST_ALLOW_DEPRECATED_HEADERS)
+  BOOST_BIND_GLOBAL_PLACEHOLDERS BOOST_ALLOW_DEPRECATED_HEADERS
+  BOOST_ASIO_SEPARATE_COMPILATION)
 if(cardamomchute_sanitize)
   add_compile_options(-fsanitize=address,undefined -fno-omit-frame-pointer
                       -fno-sanitize-recover=undefined)
