Give an endpoint more holders where links are narrow

Ruled out: processor (0.012 of 0.084 core at most), the endpoint's own queue (its run takes 10 ms of the 450). Change: a VM reports how many slots its link carries (link_mbps); holders are added until the slots are covered, and each of several may have one statement more under way than its part, so that no slot idles for a slow link.

--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -34,6 +34,7 @@
   control.vm = settings_.vm;
   control.zone = settings_.zone;
   control.peers = settings_.peers;
+  control.slots_carried = SlotsCarried(settings_.link_mbps);
   control.on_push = [this](const DirectoryPush& push) { OnPush(push); };
   control.seeds = [this] {
     // The file may change without a signal.
--- a/base/include/cardamomchute/base/toml_reader.h
+++ b/base/include/cardamomchute/base/toml_reader.h
@@ -22,6 +22,11 @@
                                      std::vector<Fault>* faults);
 
 /// Both ends belong to the range.
+struct NumberRange {
+  double least = 0;
+  double most = 0;
+};
+
 struct IntegerRange {
   int64_t min = 0;
   int64_t max = 0;
@@ -49,6 +54,7 @@
   std::optional<Address> OptionalAddressAt(std::string_view key);
   int64_t Integer(std::string_view key, IntegerRange range,
                   std::optional<int64_t> fallback);
+  double Number(std::string_view key, NumberRange range, double fallback);
   /// A number from 0 to 1.
   double Share(std::string_view key, double fallback);
   bool BoolOr(std::string_view key, bool fallback);
--- a/base/src/toml_reader.cc
+++ b/base/src/toml_reader.cc
@@ -1,5 +1,7 @@
 #include "cardamomchute/base/toml_reader.h"
 
+#include <sstream>
+
 #include "cardamomchute/base/settings.h"
 
 namespace cardamomchute {
@@ -120,20 +122,27 @@
   return number->get();
 }
 
-double TableReader::Share(std::string_view key, double fallback) {
+double TableReader::Number(std::string_view key, NumberRange range,
+                           double fallback) {
   const toml::node* node = Find(key);
   if (node == nullptr) return fallback;
+  std::ostringstream allowed;
+  allowed << "a number from " << range.least << " to " << range.most;
   std::optional<double> number = node->value<double>();
   if (!number || !node->is_number()) {
-    AddWrongType(key, *node, "a number from 0 to 1");
+    AddWrongType(key, *node, allowed.str());
     return fallback;
   }
-  bool in_range = *number >= 0.0 && *number <= 1.0;
+  bool in_range = *number >= range.least && *number <= range.most;
   if (in_range) return *number;
-  AddFault(key, "is out of range", "write a number from 0 to 1, e.g. 0.2");
+  AddFault(key, "is out of range", "write " + allowed.str());
   return fallback;
 }
 
+double TableReader::Share(std::string_view key, double fallback) {
+  return Number(key, {0, 1}, fallback);
+}
+
 bool TableReader::BoolOr(std::string_view key, bool fallback) {
   const toml::node* node = Find(key);
   if (node == nullptr) return fallback;
--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -23,6 +23,7 @@
   VmId vm;
   Zone zone;
   Address peers;  ///< where other relays reach this one
+  uint32_t slots_carried = kSlotsPerHolder;  ///< see RelayRecord
   std::function<void(const DirectoryPush&)> on_push;
   /// Seeds as the settings have them now; asked for when nobody is reached.
   std::function<std::vector<Address>()> seeds;
--- a/fleet/include/cardamomchute/fleet/node_settings.h
+++ b/fleet/include/cardamomchute/fleet/node_settings.h
@@ -33,6 +33,7 @@
   VmId vm;
   Zone zone;
   std::string log_level = "info";
+  double link_mbps = 1000;         ///< of this VM's network link, each way
   Address peers;                   ///< where relays and control members connect
   std::optional<Address> callers;  ///< a relay's
   std::optional<Address> ready;    ///< a relay's
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -99,6 +99,7 @@
   report.relay.draining = draining_;
   report.relay.run_ms = run_ms_;
   report.relay.sequence = ++sequence_;
+  report.relay.slots_carried = parts_.slots_carried;
   report.layout_version = layout_version_;
   link_->Send(FrameType::kControl, PackVariant(FleetMessage(report)));
 }
--- a/fleet/src/node_settings.cc
+++ b/fleet/src/node_settings.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr IntegerRange kGraceRangeS = {1, 600};
+constexpr NumberRange kLinkRangeMbps = {0.01, 1e6};
 
 void ReadKind(TableReader* top, NodeSettings* settings) {
   std::string kind = top->Text("kind", "write \"relay\" or \"steward\"");
@@ -77,6 +78,8 @@
   settings.vm = VmId(top.Text("vm", "name this VM, e.g. \"entry-1\""));
   settings.zone = Zone(top.Text("zone", "name its availability zone"));
   settings.log_level = top.TextOr("log_level", "info");
+  settings.link_mbps =
+      top.Number("link_mbps", kLinkRangeMbps, settings.link_mbps);
   ReadListen(&top, &settings);
   ReadControl(&top, &settings);
   if (std::optional<TableReader> drain = top.Table("drain")) {
--- a/fleet/test/node_settings-test.cc
+++ b/fleet/test/node_settings-test.cc
@@ -49,6 +49,18 @@
   BOOST_TEST(outcome.settings->seeds[1].host == "127.0.0.3");
   BOOST_TEST(outcome.settings->seeds[1].port == 7001);
   BOOST_TEST(outcome.settings->grace.ms() == 6000);
+  BOOST_TEST(outcome.settings->link_mbps == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(a_link_that_is_narrow) {
+  std::string text(kRelay);
+  NodeSettingsOutcome narrow = ParseNodeSettings("link_mbps = 1.4\n" + text);
+  BOOST_REQUIRE(narrow.settings);
+  BOOST_TEST(narrow.settings->link_mbps == 1.4);
+  for (const char* wrong : {"0", "\"fast\"", "-1"}) {
+    std::string line = std::string("link_mbps = ") + wrong + "\n";
+    BOOST_TEST(!ParseNodeSettings(line + text).settings, wrong);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(a_steward) {
--- a/policy/include/cardamomchute/policy/directory.h
+++ b/policy/include/cardamomchute/policy/directory.h
@@ -15,6 +15,13 @@
 
 namespace cardamomchute {
 
+/// Of one endpoint's slots, what one holder manages at most: endpoints that
+/// answer more at a time have more holders, and so more links.
+inline constexpr uint32_t kSlotsPerHolder = 2;
+
+/// How many slots' answers a link can carry; 1 to kSlotsPerHolder.
+uint32_t SlotsCarried(double link_mbps);
+
 /// An endpoint as it announced itself last.
 struct EndpointRecord {
   EndpointId id;
@@ -41,8 +48,10 @@
   bool gone = false;
   uint64_t run_ms = 0;    ///< when its run began, by its own wall clock
   uint64_t sequence = 0;  ///< counts its reports of one run
+  uint32_t slots_carried = kSlotsPerHolder;  ///< of one endpoint, by its link
 
-  MSGPACK_DEFINE(vm, address, zone, draining, gone, run_ms, sequence)
+  MSGPACK_DEFINE(vm, address, zone, draining, gone, run_ms, sequence,
+                 slots_carried)
 };
 
 /// Which endpoint leads a group, as one control leader has found.
@@ -105,9 +114,6 @@
   std::vector<RelayRecord> reserve;
 };
 
-/// Slots of an endpoint that one holder manages: more holders, and so more
-/// links, for endpoints that answer more at a time.
-inline constexpr uint32_t kSlotsPerHolder = 2;
 inline constexpr size_t kReserveHolders = 3;
 
 /// Gives each endpoint holders of its own availability zone where there are
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -6,6 +6,9 @@
 namespace cardamomchute {
 namespace {
 
+/// What passes a holder's link each way for one slot that never rests.
+constexpr double kSlotMbps = 1.0;
+
 bool Newer(const EndpointRecord& a, const EndpointRecord& b) {
   return std::tie(a.born_ms, a.sequence) > std::tie(b.born_ms, b.sequence);
 }
@@ -62,6 +65,12 @@
 
 }  // namespace
 
+uint32_t SlotsCarried(double link_mbps) {
+  double slots = std::clamp(link_mbps / kSlotMbps, 1.0,
+                            static_cast<double>(kSlotsPerHolder));
+  return static_cast<uint32_t>(slots);
+}
+
 DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
                      Time now) {
   DirectoryDelta changed;
@@ -196,8 +205,8 @@
       candidates.push_back({relay.zone != endpoint.zone, taken[relay.vm],
                             Weight(key, relay.vm.value()), &relay});
     }
-    size_t wanted = (endpoint.slots + kSlotsPerHolder - 1) / kSlotsPerHolder;
-    size_t kept = std::min(candidates.size(), wanted + kReserveHolders);
+    size_t kept =
+        std::min<size_t>(candidates.size(), endpoint.slots + kReserveHolders);
     std::partial_sort(
         candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(kept),
         candidates.end(), [](const Candidate& a, const Candidate& b) {
@@ -205,12 +214,15 @@
                  std::tie(b.far, b.taken, a.weight);
         });
     Holders& holders = assigned[endpoint.id];
+    uint32_t covered = 0;
     for (size_t i = 0; i < kept; ++i) {
       const RelayRecord& relay = *candidates[i].relay;
-      if (i >= wanted) {
+      if (covered >= endpoint.slots) {
+        if (holders.reserve.size() == kReserveHolders) break;
         holders.reserve.push_back(relay);
         continue;
       }
+      covered += std::max<uint32_t>(relay.slots_carried, 1);
       holders.active.push_back(relay);
       ++taken[relay.vm];
     }
--- a/policy/test/directory-test.cc
+++ b/policy/test/directory-test.cc
@@ -159,6 +159,21 @@
   for (const auto& [vm, count] : held) BOOST_TEST(count == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(narrow_links_share_an_endpoint_among_more_holders) {
+  Directory directory = ManyRelays(24);
+  for (auto& [vm, relay] : directory.relays)
+    relay.slots_carried = SlotsCarried(1.4);
+  std::map<VmId, size_t> held;
+  for (const auto& [id, of] : AssignHolders(directory)) {
+    BOOST_TEST(of.active.size() == 4u);
+    BOOST_TEST(of.reserve.size() == kReserveHolders);
+    for (const RelayRecord& relay : of.active) ++held[relay.vm];
+  }
+  for (const auto& [vm, count] : held) BOOST_TEST(count == 1u);
+  BOOST_TEST(SlotsCarried(0.1) == 1u);
+  BOOST_TEST(SlotsCarried(700) == kSlotsPerHolder);
+}
+
 BOOST_AUTO_TEST_CASE(holders_that_drain_are_replaced) {
   Directory directory = ManyRelays(12);
   std::map<EndpointId, Holders> before = AssignHolders(directory);
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -28,6 +28,10 @@
 /// Connections to an endpoint that one holder may open, of all allowed: two
 /// VMs may hold some at once while holders change.
 constexpr double kHolderShare = 0.85;
+/// Beyond its part, what a holder may have under way at an endpoint with
+/// several: a slot that another leaves idle, or that waits for a slow link,
+/// goes to whoever has work.
+constexpr uint32_t kSlotsLent = 1;
 /// A replica that lacked a position, or that its holder could not reach, is
 /// passed over this long.
 constexpr Duration kLagPauseMin = Millis(50);
@@ -198,10 +202,12 @@
   if (record != directory_.endpoints.end()) {
     const EndpointRecord& known = record->second;
     // A VM that steps in for another one uses that one's part.
-    size_t sharers = std::max<size_t>(
-        1, (known.slots + kSlotsPerHolder - 1) / kSlotsPerHolder);
-    bounds.slots =
-        std::max<uint32_t>(1, known.slots / static_cast<uint32_t>(sharers));
+    auto holders = holders_.find(endpoint);
+    uint32_t sharers = 1;
+    if (holders != holders_.end() && !holders->second.active.empty())
+      sharers = static_cast<uint32_t>(holders->second.active.size());
+    bounds.slots = std::max<uint32_t>(1, known.slots / sharers);
+    if (sharers > 1) bounds.slots += kSlotsLent;
     bounds.leaving = known.leaving;
     auto lead = directory_.leads.find(known.group);
     bounds.leads =
@@ -211,7 +217,7 @@
       auto group = layout_->groups.find(known.group);
       if (group != layout_->groups.end()) allowed = group->second.connections;
     }
-    double share = kHolderShare / static_cast<double>(sharers);
+    double share = kHolderShare / sharers;
     bounds.connections = std::max<uint32_t>(
         bounds.slots + 1, static_cast<uint32_t>(allowed * share));
   }
