--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -20,6 +20,8 @@
 /// Part of a statement's time that it may wait without having been sent.
 constexpr int64_t kHoldPercent = 35;
 constexpr int kMaxSends = 8;
+/// While the VM drains, a new session gets this long for its first statement.
+constexpr Duration kFirstStatement = Millis(500);
 
 }  // namespace
 
@@ -417,6 +419,7 @@
   const CallerProtocol& protocol = relay_->parts().caller_protocol;
   protocol.encode_result(result, &queued_);
   protocol.encode_ready(State(), at_, &queued_);
+  served_ = true;
   last_use_ = Now();
   if (writing_.empty()) Write();
 }
@@ -438,8 +441,10 @@
 }
 
 void RelayedSession::CloseIfIdle() {
+  // Whoever has just connected is about to ask.
+  bool awaited = !served_ && Now() - last_use_ < kFirstStatement;
   bool idle = !attempt_ && transaction_ == Transaction::kNone &&
-              writing_.empty() && in_used_ == 0;
+              writing_.empty() && in_used_ == 0 && !awaited;
   if (idle) Close();
 }
 
--- a/relay/src/relayed_session.h
+++ b/relay/src/relayed_session.h
@@ -93,6 +93,7 @@
   Time last_use_;
 
   bool greeted_ = false;
+  bool served_ = false;  ///< a statement has been answered
   DatabaseName database_;
   std::map<std::string, std::string> values_;
   std::map<std::string, PreparedStatement> prepared_;
--- a/tests/fleet-test.cc
+++ b/tests/fleet-test.cc
@@ -413,6 +413,25 @@
   s.Check();
 }
 
+BOOST_AUTO_TEST_CASE(a_relay_that_stops_serves_whoever_has_just_connected) {
+  Served s;
+  std::future<bool> ended = std::async(
+      std::launch::async, [&s] { return s.fleet.relay(0).Terminate(5); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  // The balancer still sends new callers, who take a moment to ask.
+  bool served = false;
+  for (int i = 0; i < 10 && !served; ++i) {
+    Caller caller(s.fleet.Callers(0));
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    served = caller.open() && !caller.Query("READ k").empty();
+  }
+  BOOST_TEST(served);
+  BOOST_TEST(ended.get());
+  s.fleet.StartRelay(0);
+  BOOST_TEST(s.Progress());
+  s.Check();
+}
+
 BOOST_AUTO_TEST_CASE(stewards_killed_in_turn_lose_no_layout) {
   Served s;
   for (size_t i = 0; i < kStewards; ++i) {
