Give up answers that are lost long before a statement's time

Cause: a read, or a statement inside a transaction, whose answer is lost waited for its whole time (answer_lost); the caller's deadline was over then. Writes and commits wait on.

--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -152,6 +152,9 @@
   bool Down(Time now) const;
   void NoteDown(Time now);
   void ExpireRunning(Time now);
+  /// Whether the answer to a statement that may run again is taken for lost:
+  /// the endpoint has answered others since, and it is long overdue.
+  bool AnswerLost(const Held& held, Time now) const;
   void VerifyIdle(Time now);
   void WatchForTrouble(Time now);
   void ReportAnswer(const Job& job, Outcome outcome);
@@ -184,6 +187,7 @@
   bool probing_ = false;
   Time last_read_;
   Time last_write_done_;
+  double service_ms_ = 0;  ///< mean time that statements take
   Time last_report_;
   Time last_used_;
 };
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -543,9 +543,23 @@
   std::unique_ptr<Job> job = std::move(held->job);
   --running_;
   const RunRequest& request = job->request;
+  // An answer went missing, and this is of a command of the pool's own.
+  bool foreign = answer.outcome == Outcome::kDone && answer.signature.empty();
+  if (foreign) {
+    LogLine(LogLevel::kWarn, "endpoint_answer_missing")
+        .Field("endpoint", parts_.endpoint)
+        .Field("request", request.id);
+    Outcome outcome =
+        WithoutAnswer(request, true, held->wrote, Outcome::kUnknown);
+    Drop(held);
+    Refuse(std::move(job), outcome, "the answer is missing");
+    return Dispatch();
+  }
   Time now = Now();
   queue_.Served(request.rank, job->late ? Lane::kLate : Lane::kPrimary,
                 now - held->sent_at);
+  double took_ms = static_cast<double>((now - held->sent_at).ms());
+  service_ms_ += (took_ms - service_ms_) * kServiceWeight;
   bool done = answer.outcome == Outcome::kDone;
   bool commit = request.step == RunStep::kCommit;
   bool plain_run = job->fenced || (held->pinned && held->wrote);
--- a/relay/src/endpoint_pool_watch.cc
+++ b/relay/src/endpoint_pool_watch.cc
@@ -105,7 +105,8 @@
   bool silent = false;
   for (const HeldPtr& held : all) {
     bool unverified = held->verify_until && now >= *held->verify_until;
-    bool late = held->job && now >= held->job->deadline;
+    bool lost = AnswerLost(*held, now);
+    bool late = held->job && (lost || now >= held->job->deadline);
     if (!unverified && !late) continue;
     silent = true;
     if (unverified) probing_ = false;
@@ -123,6 +124,8 @@
         .Field("endpoint", parts_.endpoint)
         .Field("request", job->request.id)
         .Field("since_sent_ms", (now - held->sent_at).ms())
+        .Field("usual_ms", static_cast<int64_t>(service_ms_))
+        .Field("overdue", lost)
         .Field("outcome", ToString(outcome));
     Drop(held);
     Refuse(std::move(job), outcome, "no answer in time");
@@ -130,6 +133,19 @@
   if (silent) VerifyIdle(now);
 }
 
+bool EndpointPool::AnswerLost(const Held& held, Time now) const {
+  if (!held.job) return false;
+  const RunRequest& request = held.job->request;
+  bool keeps_trace =
+      held.sent && (request.step == RunStep::kCommit ||
+                    (request.step == RunStep::kSingle && request.writes));
+  if (keeps_trace) return false;
+  Duration overdue = std::max(
+      kOverdueMin, Millis(static_cast<int64_t>(service_ms_ * kOverdueFactor)));
+  return now - held.sent_at > overdue &&
+         last_read_ > held.sent_at + overdue / 2;
+}
+
 /// One connection was lost or fell silent: the idle ones must answer before
 /// they are used again.
 void EndpointPool::VerifyIdle(Time now) {
--- a/relay/src/pool_timing.h
+++ b/relay/src/pool_timing.h
@@ -25,6 +25,13 @@
 /// A connection that answers nothing this long after a probe is closed.
 inline constexpr Duration kVerifyTimeout = Millis(400);
 
+/// An answer that takes so many times the usual, and no less than this, is
+/// taken for lost if others arrive meanwhile.
+inline constexpr double kOverdueFactor = 12;
+inline constexpr Duration kOverdueMin = Millis(140);
+/// Weight of the newest statement in the mean.
+inline constexpr double kServiceWeight = 0.1;
+
 /// For the time that a statement takes to arrive.
 inline constexpr Duration kStalenessMargin = Millis(50);
 /// The leader's position is asked for again when the last is older.
--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -216,6 +216,70 @@
   BOOST_TEST(f.group.CountOf("once") == 1u);
 }
 
+/// Keeps the endpoint answering others until the first `count` have come back.
+void AnswerOthers(Fixture* f, const size_t& come_back, size_t count) {
+  f->RunUntil([f, &come_back, count] {
+    f->Run(f->Request(RunStep::kSingle, "READ k"), "other");
+    return come_back >= count;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_read_whose_answer_is_lost_ends_long_before_its_time) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kSingle, "READ k"));
+  f.group.member(0).lose_answers = 1;
+  RunRequest read = f.Request(RunStep::kSingle, "READ k");
+  read.timeout = Seconds(3600);
+  size_t come_back = 0;
+  Outcome outcome = Outcome::kDone;
+  f.pool->Submit(read, SessionKey{VmId("a"), 1}, [&](const RunAnswer& answer) {
+    ++come_back;
+    outcome = answer.outcome;
+  });
+  AnswerOthers(&f, come_back, 1);
+  BOOST_REQUIRE(come_back == 1u);
+  BOOST_TEST((outcome == Outcome::kTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_answer_is_not_taken_from_what_follows) {
+  Fixture f;
+  f.group.member(0).skip_answers = 1;
+  // Followed by the end of its own transaction, which is answered.
+  RunAnswer read = f.Run(f.Request(RunStep::kSingle, "READ k"));
+  BOOST_TEST((read.outcome == Outcome::kUnknown));
+  BOOST_TEST(
+      (f.Run(f.Request(RunStep::kSingle, "READ k")).outcome == Outcome::kDone));
+}
+
+BOOST_AUTO_TEST_CASE(only_what_leaves_no_trace_is_given_up_early) {
+  Fixture f;
+  f.Run(f.Request(RunStep::kSingle, "READ k"));
+  RunRequest first = f.Request(RunStep::kFirst, "WRITE k in_transaction");
+  first.timeout = Seconds(3600);
+  RunRequest write = f.Request(RunStep::kSingle, "WRITE k alone");
+  write.timeout = Seconds(3600);
+  f.group.member(0).lose_answers = 2;
+  size_t come_back = 0;
+  Outcome outcome = Outcome::kDone;
+  bool alone_ended = false;
+  f.pool->Submit(write, SessionKey{VmId("a"), 1},
+                 [&](const RunAnswer&) { alone_ended = true; });
+  f.RunUntil([&] { return f.group.member(0).lose_answers == 1; });
+  f.pool->Submit(first, SessionKey{VmId("b"), 2}, [&](const RunAnswer& answer) {
+    ++come_back;
+    outcome = answer.outcome;
+  });
+  f.RunUntil([&] { return f.group.member(0).lose_answers == 0; });
+  // Others need a connection and a slot beside the two.
+  f.bounds.slots = 3;
+  f.pool->SetBounds(f.bounds);
+  AnswerOthers(&f, come_back, 1);
+  BOOST_REQUIRE(come_back == 1u);
+  BOOST_TEST((outcome == Outcome::kAborted));
+  BOOST_TEST(f.group.CountOf("in_transaction") == 0u);
+  BOOST_TEST(!alone_ended);
+}
+
 BOOST_AUTO_TEST_CASE(a_transaction_that_loses_its_connection_is_aborted) {
   Fixture f;
   f.Run(f.Request(RunStep::kFirst, "WRITE k v"));
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -87,6 +87,14 @@
       timer_.async_wait([self, text](error_code) {
         if (self->group_ == nullptr) return;
         --self->member_->running;
+        if (self->member_->lose_answers > 0) {
+          --self->member_->lose_answers;
+          return;
+        }
+        if (self->member_->skip_answers > 0) {
+          --self->member_->skip_answers;
+          return self->Read();
+        }
         self->Run(text);
       });
       return;
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -30,6 +30,8 @@
   uint64_t lag_ms = 0;        ///< what it says of itself
   bool silent = false;        ///< reads, and answers nothing
   bool mute_commits = false;  ///< runs commits and writes, loses the answers
+  int lose_answers = 0;       ///< so many connections hang after a statement
+  int skip_answers = 0;       ///< leaves so many out, and answers what follows
   std::vector<std::string> runs;  ///< "id text", as received from callers
   size_t connections = 0;
   size_t running = 0;  ///< statements under way
