Turn to another endpoint when one is busy

Change: busy is asked again within the time that a statement may wait, a read at another endpoint, which is passed over for a moment like one that lags.

--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -324,6 +324,7 @@
       if (avoid) self->Avoid(endpoint, holder);
       // Reads turn to another replica; only the leader has no substitute.
       bool lagging = answer.outcome == Outcome::kLagging ||
+                     answer.outcome == Outcome::kBusy ||
                      answer.outcome == Outcome::kUnreachable;
       if (lagging || answer.outcome == Outcome::kDone)
         self->NoteLag(endpoint, max_staleness, lagging);
--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -293,6 +293,8 @@
   if (transaction_ == Transaction::kOpen) return false;
   if (attempt_->sends >= kMaxSends || now >= attempt_->deadline) return false;
   switch (answer.outcome) {
+    case Outcome::kBusy:
+      return now + kRetryPause < attempt_->hold_until;
     case Outcome::kLagging:
     case Outcome::kReadOnly:
     case Outcome::kMisrouted:
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -91,6 +91,10 @@
           --self->member_->lose_answers;
           return;
         }
+        if (self->member_->refuse_busy > 0) {
+          --self->member_->refuse_busy;
+          return self->Fail("BUSY");
+        }
         if (self->member_->skip_answers > 0) {
           --self->member_->skip_answers;
           return self->Read();
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -31,6 +31,7 @@
   bool silent = false;        ///< reads, and answers nothing
   bool mute_commits = false;  ///< runs commits and writes, loses the answers
   int lose_answers = 0;       ///< so many connections hang after a statement
+  int refuse_busy = 0;        ///< refuses so many statements as busy
   int skip_answers = 0;       ///< leaves so many out, and answers what follows
   std::vector<std::string> runs;  ///< "id text", as received from callers
   size_t connections = 0;
--- a/tests/fleet-test.cc
+++ b/tests/fleet-test.cc
@@ -359,8 +359,12 @@
     });
   }
 
-  void Check() {
+  void StopLoads() {
     for (const std::unique_ptr<Load>& load : loads) load->Stop();
+  }
+
+  void Check() {
+    StopLoads();
     for (const std::unique_ptr<Load>& load : loads)
       CheckPromises(&fleet, *load);
   }
@@ -432,6 +436,20 @@
   s.Check();
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_is_busy_for_a_moment_costs_no_read) {
+  Served s;
+  s.StopLoads();
+  Caller caller(s.fleet.Callers(0));
+  BOOST_REQUIRE(caller.open());
+  for (int i = 0; i < 20; ++i) {
+    s.fleet.WithGroup([](LineGroup& group) {
+      for (size_t m = 0; m < group.size(); ++m) group.member(m).refuse_busy = 1;
+      return 0;
+    });
+    BOOST_TEST(caller.Query("READ k").find("DONE") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(stewards_killed_in_turn_lose_no_layout) {
   Served s;
   for (size_t i = 0; i < kStewards; ++i) {
