--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -38,7 +38,6 @@
   void SetLayoutVersion(uint64_t version) { layout_version_ = version; }
   void Report(const GroupId& group, const EndpointId& endpoint,
               Trouble trouble);
-  bool connected() const { return link_ != nullptr; }
   void Stop();
 
  private:
--- a/fleet/include/cardamomchute/fleet/steward.h
+++ b/fleet/include/cardamomchute/fleet/steward.h
@@ -77,11 +77,6 @@
     QuorumTerm term;
     LayoutDone done;
   };
-  struct RelayLink {
-    LinkPtr link;
-    VmId vm;
-  };
-
   struct WaitingRelay {
     LinkPtr link;
     RelayReport report;
@@ -122,7 +117,7 @@
   std::optional<Layout> parsed_;
   Directory directory_;
   std::map<LogIndex, PendingPut> pending_;
-  std::map<Link*, RelayLink> relays_;
+  std::map<Link*, LinkPtr> relays_;
   std::map<Link*, WaitingRelay> waiting_;
   DirectoryDelta to_relays_;
   DirectoryDelta to_members_;
--- a/fleet/src/steward.cc
+++ b/fleet/src/steward.cc
@@ -239,7 +239,7 @@
                          WaitingRelay{link, report, Now() + kPatience});
     return;
   }
-  relays_[link.get()] = RelayLink{link, report.relay.vm};
+  relays_[link.get()] = link;
   DirectoryDelta delta;
   delta.relays.push_back(report.relay);
   TakeDelta(delta, false);
@@ -312,7 +312,7 @@
   push.layout = layout_;
   std::string message = PackMessage(push);
   for (const auto& [key, relay] : relays_)
-    relay.link->Send(FrameType::kControl, message);
+    relay->Send(FrameType::kControl, message);
 }
 
 void Steward::Flush() {
@@ -321,7 +321,7 @@
     push.delta = to_relays_;
     std::string message = PackMessage(push);
     for (const auto& [key, relay] : relays_)
-      relay.link->Send(FrameType::kControl, message);
+      relay->Send(FrameType::kControl, message);
   }
   to_relays_ = DirectoryDelta();
   if (to_members_.Empty()) return;
@@ -334,7 +334,7 @@
 void Steward::SendFarewells() {
   std::string message = PackMessage(Farewell{BarePush().members});
   for (const auto& [key, relay] : relays_)
-    relay.link->Send(FrameType::kControl, message);
+    relay->Send(FrameType::kControl, message);
   relays_.clear();
 }
 
--- a/policy/include/cardamomchute/policy/layout.h
+++ b/policy/include/cardamomchute/policy/layout.h
@@ -39,7 +39,6 @@
 
 struct GroupBounds {
   uint32_t connections = 1;  ///< to one endpoint, all VMs together
-  bool replicated_ack = false;
 
   friend bool operator==(const GroupBounds&, const GroupBounds&) = default;
 };
--- a/relay/include/cardamomchute/relay/run.h
+++ b/relay/include/cardamomchute/relay/run.h
@@ -21,6 +21,11 @@
   kCommit
 };
 
+/// Whether the statement belongs to a transaction that is open already.
+inline bool InTransaction(RunStep step) {
+  return step == RunStep::kNext || step == RunStep::kCommit;
+}
+
 /// A statement on its way to an endpoint.
 struct RunRequest {
   uint64_t number = 0;   ///< of this request, on its link
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -8,14 +8,6 @@
 #include "pool_timing.h"
 
 namespace cardamomchute {
-namespace {
-
-bool InTransaction(RunStep step) {
-  return step == RunStep::kNext || step == RunStep::kCommit;
-}
-
-}  // namespace
-
 std::string_view ToString(Trouble trouble) {
   switch (trouble) {
     case Trouble::kRefused:
@@ -99,65 +91,6 @@
   Dispatch();
 }
 
-/// Decides how the statement is kept fresh enough; false: a position of the
-/// leader must be asked for first.
-bool EndpointPool::PlanFloor(Job* job, Time now) {
-  const RunRequest& request = job->request;
-  if (request.writes && request.step == RunStep::kSingle) return true;
-  bool leader_only = request.at_leader || request.writes;
-  if (leader_only) {
-    job->fenced = true;
-    return true;
-  }
-  std::optional<Floor> floor =
-      history_.FirstSince(now - request.max_staleness + kStalenessMargin);
-  if (!floor) {
-    job->fenced = bounds_.leads;
-    return bounds_.leads;
-  }
-  job->at_least = std::max(*floor, request.floor);
-  job->by_age = *floor >= request.floor;
-  KeepFloor();
-  return true;
-}
-
-void EndpointPool::ParkForFloor(std::unique_ptr<Job> job) {
-  parked_.push_back(std::move(job));
-  AskFloor();
-  ScheduleTick();
-}
-
-void EndpointPool::AskFloor() {
-  if (asking_floor_) return;
-  asking_floor_ = true;
-  Time asked = Now();
-  std::weak_ptr<EndpointPool> weak = weak_from_this();
-  parts_.ask_floor([weak, asked](std::optional<FloorAnswer> answer) {
-    std::shared_ptr<EndpointPool> self = weak.lock();
-    if (!self) return;
-    self->asking_floor_ = false;
-    if (answer && answer->at)
-      self->history_.Add({asked - answer->age, *answer->at});
-    Time now = Now();
-    std::vector<std::unique_ptr<Job>> parked = std::exchange(self->parked_, {});
-    for (std::unique_ptr<Job>& job : parked) {
-      if (self->PlanFloor(job.get(), now)) {
-        self->Enqueue(std::move(job));
-      } else {
-        self->Refuse(std::move(job), Outcome::kLagging,
-                     "no position of the leader is known");
-      }
-    }
-    self->Dispatch();
-  });
-}
-
-void EndpointPool::KeepFloor() {
-  std::optional<PositionSample> latest = history_.Latest();
-  bool old = !latest || Now() - latest->asked > kFloorRefresh;
-  if (old && !bounds_.leads && !bounds_.leaving) AskFloor();
-}
-
 void EndpointPool::Enqueue(std::unique_ptr<Job> job) {
   uint64_t id = ++next_job_;
   QueueItem item;
@@ -289,126 +222,6 @@
   }
 }
 
-// ---- connections -----------------------------------------------------------
-
-void EndpointPool::Grow() {
-  size_t spare = connecting_;
-  size_t wanted = std::min<size_t>(queue_.size(), bounds_.slots);
-  while (spare < wanted && held_.size() < bounds_.connections &&
-         Now() >= next_connect_) {
-    Connect();
-    ++spare;
-  }
-}
-
-void EndpointPool::Connect() {
-  HeldPtr held = std::make_shared<Held>();
-  held->link =
-      std::make_shared<CommandConnection>(parts_.executor, parts_.protocol);
-  held_.push_back(held);
-  ++connecting_;
-  std::weak_ptr<EndpointPool> weak = weak_from_this();
-  held->link->Open(parts_.address, parts_.group, parts_.endpoint,
-                   kConnectTimeout, [weak, held](Outcome outcome) {
-                     std::shared_ptr<EndpointPool> self = weak.lock();
-                     if (self) self->OnConnected(held, outcome);
-                   });
-}
-
-void EndpointPool::OnConnected(const HeldPtr& held, Outcome outcome) {
-  --connecting_;
-  Time now = Now();
-  if (closed_) return;
-  if (outcome == Outcome::kDone) {
-    connect_pause_ = kConnectPauseMin;
-    connect_failed_ = false;
-    last_read_ = now;
-    held->ready = true;
-    std::weak_ptr<EndpointPool> weak = weak_from_this();
-    std::weak_ptr<Held> weak_held = held;
-    held->link->OnLost([weak, weak_held] {
-      std::shared_ptr<EndpointPool> self = weak.lock();
-      HeldPtr lost = weak_held.lock();
-      if (self && lost) self->OnLost(lost);
-    });
-    return Dispatch();
-  }
-  Drop(held);
-  // An endpoint that is full is there.
-  connect_failed_ = outcome != Outcome::kTooMany;
-  ScheduleTick();
-  next_connect_ = now + connect_pause_;
-  connect_pause_ = std::min(connect_pause_ * 2, kConnectPauseMax);
-  LogLine(LogLevel::kInfo, "endpoint_connect_failed")
-      .Field("endpoint", parts_.endpoint)
-      .Field("address", ToString(parts_.address))
-      .Field("outcome", ToString(outcome))
-      .Field("waiting", jobs_.size());
-  if (outcome == Outcome::kUnreachable) Report(Trouble::kRefused, now);
-  if (outcome == Outcome::kTimeout) Report(Trouble::kSilent, now);
-  bool none_left = std::none_of(held_.begin(), held_.end(),
-                                [](const HeldPtr& h) { return h->ready; });
-  if (outcome == Outcome::kMisrouted || (none_left && connecting_ == 0)) {
-    FailWaiting(
-        outcome == Outcome::kMisrouted ? outcome : Outcome::kUnreachable,
-        "cannot connect to the endpoint");
-  }
-}
-
-void EndpointPool::FailWaiting(Outcome outcome, const std::string& detail) {
-  std::map<uint64_t, std::unique_ptr<Job>> jobs = std::exchange(jobs_, {});
-  queue_.TakeAll();
-  for (auto& [id, job] : jobs) {
-    bool lost = InTransaction(job->request.step);
-    Refuse(std::move(job), lost ? Outcome::kAborted : outcome, detail);
-  }
-}
-
-void EndpointPool::Drop(const HeldPtr& held) {
-  held->link->Close();
-  std::erase(held_, held);
-}
-
-void EndpointPool::OnLost(const HeldPtr& held) {
-  std::unique_ptr<Job> job = std::move(held->job);
-  LogLine(LogLevel::kInfo, "endpoint_connection_lost")
-      .Field("endpoint", parts_.endpoint)
-      .Field("request", job ? job->request.id : "-")
-      .Field("sent", held->sent);
-  std::optional<Outcome> outcome;
-  if (job) {
-    outcome =
-        WithoutAnswer(job->request, held->sent, held->wrote, Outcome::kUnknown);
-    --running_;
-  }
-  Drop(held);
-  if (job) Refuse(std::move(job), *outcome, "connection to endpoint lost");
-  Time now = Now();
-  VerifyIdle(now);
-  Dispatch();
-}
-
-void EndpointPool::Close() {
-  if (closed_) return;
-  closed_ = true;
-  timer_.cancel();
-  FailWaiting(Outcome::kUnreachable, "pool closed");
-  std::vector<std::unique_ptr<Job>> parked = std::exchange(parked_, {});
-  for (std::unique_ptr<Job>& job : parked)
-    Refuse(std::move(job), Outcome::kUnreachable, "pool closed");
-  std::vector<HeldPtr> all = std::exchange(held_, {});
-  for (const HeldPtr& held : all) {
-    if (held->job) {
-      Outcome outcome = WithoutAnswer(held->job->request, held->sent,
-                                      held->wrote, Outcome::kUnknown);
-      Refuse(std::move(held->job), outcome, "pool closed");
-    }
-    held->link->Close();
-  }
-  running_ = 0;
-  ServeFloorWaiters(Now(), true);
-}
-
 // ---- statements under way --------------------------------------------------
 
 void EndpointPool::Start(const HeldPtr& held, std::unique_ptr<Job> job) {
@@ -587,15 +400,6 @@
   Dispatch();
 }
 
-/// A success in a plain transaction shows that the endpoint led when it was
-/// asked; its position then held all that was acknowledged before.
-void EndpointPool::NoteProof(const HeldPtr& held, const CommandAnswer& answer) {
-  if (!bounds_.leads || !answer.at) return;
-  proof_ = PositionSample{held->sent_at, *answer.at};
-  history_.Add(*proof_);
-  ServeFloorWaiters(Now(), false);
-}
-
 /// The connection is free again, once the endpoint has no transaction on it.
 void EndpointPool::EndRun(const HeldPtr& held, TransactionState state) {
   held->pinned.reset();
@@ -629,59 +433,4 @@
                    });
 }
 
-// ---- floors ----------------------------------------------------------------
-
-void EndpointPool::AnswerFloor(std::function<void(FloorAnswer)> done) {
-  Time now = Now();
-  last_used_ = now;
-  floor_waiters_.push_back({now, std::move(done)});
-  bool fresh = proof_ && now - proof_->asked < kProofFresh;
-  if (fresh) return ServeFloorWaiters(now, true);
-  ScheduleTick();
-  if (probing_ || !bounds_.leads) return;
-  RunRequest nothing;
-  Job any;
-  HeldPtr held = FindIdle(any);
-  if (!held) return Warm();
-  probing_ = true;
-  held->busy = true;
-  held->sent_at = now;
-  held->verify_until = now + kVerifyTimeout;
-  std::weak_ptr<EndpointPool> weak = weak_from_this();
-  std::weak_ptr<Held> weak_held = held;
-  held->link->Send({{.kind = CommandKind::kBegin}},
-                   [weak, weak_held](const CommandAnswer& answer) {
-                     std::shared_ptr<EndpointPool> self = weak.lock();
-                     HeldPtr on = weak_held.lock();
-                     if (!self || !on) return;
-                     self->probing_ = false;
-                     self->last_read_ = Now();
-                     on->verify_until.reset();
-                     if (answer.outcome == Outcome::kDone)
-                       self->NoteProof(on, answer);
-                     if (answer.outcome == Outcome::kReadOnly)
-                       self->Report(Trouble::kNotLeader, Now());
-                     self->EndRun(on, answer.state);
-                     self->Dispatch();
-                   });
-}
-
-void EndpointPool::ServeFloorWaiters(Time now, bool give_up) {
-  std::vector<FloorWaiter> waiters = std::exchange(floor_waiters_, {});
-  for (FloorWaiter& waiter : waiters) {
-    bool fresh = proof_ && waiter.asked - proof_->asked < kProofFresh;
-    bool late = now - waiter.asked > kFloorAnswerTimeout;
-    if (!fresh && !give_up && !late) {
-      floor_waiters_.push_back(std::move(waiter));
-      continue;
-    }
-    FloorAnswer answer;
-    if (proof_) {
-      answer.at = proof_->at;
-      answer.age = std::max(waiter.asked - proof_->asked, Duration());
-    }
-    waiter.done(answer);
-  }
-}
-
 }  // namespace cardamomchute
--- /dev/null
+++ b/relay/src/endpoint_pool_connections.cc
@@ -0,0 +1,129 @@
+/// A pool's connections: opened as they are needed, lost, closed.
+#include <algorithm>
+#include <utility>
+
+#include "cardamomchute/base/log.h"
+#include "cardamomchute/relay/endpoint_pool.h"
+#include "pool_timing.h"
+
+namespace cardamomchute {
+
+void EndpointPool::Grow() {
+  size_t spare = connecting_;
+  size_t wanted = std::min<size_t>(queue_.size(), bounds_.slots);
+  while (spare < wanted && held_.size() < bounds_.connections &&
+         Now() >= next_connect_) {
+    Connect();
+    ++spare;
+  }
+}
+
+void EndpointPool::Connect() {
+  HeldPtr held = std::make_shared<Held>();
+  held->link =
+      std::make_shared<CommandConnection>(parts_.executor, parts_.protocol);
+  held_.push_back(held);
+  ++connecting_;
+  std::weak_ptr<EndpointPool> weak = weak_from_this();
+  held->link->Open(parts_.address, parts_.group, parts_.endpoint,
+                   kConnectTimeout, [weak, held](Outcome outcome) {
+                     std::shared_ptr<EndpointPool> self = weak.lock();
+                     if (self) self->OnConnected(held, outcome);
+                   });
+}
+
+void EndpointPool::OnConnected(const HeldPtr& held, Outcome outcome) {
+  --connecting_;
+  Time now = Now();
+  if (closed_) return;
+  if (outcome == Outcome::kDone) {
+    connect_pause_ = kConnectPauseMin;
+    connect_failed_ = false;
+    last_read_ = now;
+    held->ready = true;
+    std::weak_ptr<EndpointPool> weak = weak_from_this();
+    std::weak_ptr<Held> weak_held = held;
+    held->link->OnLost([weak, weak_held] {
+      std::shared_ptr<EndpointPool> self = weak.lock();
+      HeldPtr lost = weak_held.lock();
+      if (self && lost) self->OnLost(lost);
+    });
+    return Dispatch();
+  }
+  Drop(held);
+  // An endpoint that is full is there.
+  connect_failed_ = outcome != Outcome::kTooMany;
+  ScheduleTick();
+  next_connect_ = now + connect_pause_;
+  connect_pause_ = std::min(connect_pause_ * 2, kConnectPauseMax);
+  LogLine(LogLevel::kInfo, "endpoint_connect_failed")
+      .Field("endpoint", parts_.endpoint)
+      .Field("address", ToString(parts_.address))
+      .Field("outcome", ToString(outcome))
+      .Field("waiting", jobs_.size());
+  if (outcome == Outcome::kUnreachable) Report(Trouble::kRefused, now);
+  if (outcome == Outcome::kTimeout) Report(Trouble::kSilent, now);
+  bool none_left = std::none_of(held_.begin(), held_.end(),
+                                [](const HeldPtr& h) { return h->ready; });
+  if (outcome == Outcome::kMisrouted || (none_left && connecting_ == 0)) {
+    FailWaiting(
+        outcome == Outcome::kMisrouted ? outcome : Outcome::kUnreachable,
+        "cannot connect to the endpoint");
+  }
+}
+
+void EndpointPool::FailWaiting(Outcome outcome, const std::string& detail) {
+  std::map<uint64_t, std::unique_ptr<Job>> jobs = std::exchange(jobs_, {});
+  queue_.TakeAll();
+  for (auto& [id, job] : jobs) {
+    bool lost = InTransaction(job->request.step);
+    Refuse(std::move(job), lost ? Outcome::kAborted : outcome, detail);
+  }
+}
+
+void EndpointPool::Drop(const HeldPtr& held) {
+  held->link->Close();
+  std::erase(held_, held);
+}
+
+void EndpointPool::OnLost(const HeldPtr& held) {
+  std::unique_ptr<Job> job = std::move(held->job);
+  LogLine(LogLevel::kInfo, "endpoint_connection_lost")
+      .Field("endpoint", parts_.endpoint)
+      .Field("request", job ? job->request.id : "-")
+      .Field("sent", held->sent);
+  std::optional<Outcome> outcome;
+  if (job) {
+    outcome =
+        WithoutAnswer(job->request, held->sent, held->wrote, Outcome::kUnknown);
+    --running_;
+  }
+  Drop(held);
+  if (job) Refuse(std::move(job), *outcome, "connection to endpoint lost");
+  Time now = Now();
+  VerifyIdle(now);
+  Dispatch();
+}
+
+void EndpointPool::Close() {
+  if (closed_) return;
+  closed_ = true;
+  timer_.cancel();
+  FailWaiting(Outcome::kUnreachable, "pool closed");
+  std::vector<std::unique_ptr<Job>> parked = std::exchange(parked_, {});
+  for (std::unique_ptr<Job>& job : parked)
+    Refuse(std::move(job), Outcome::kUnreachable, "pool closed");
+  std::vector<HeldPtr> all = std::exchange(held_, {});
+  for (const HeldPtr& held : all) {
+    if (held->job) {
+      Outcome outcome = WithoutAnswer(held->job->request, held->sent,
+                                      held->wrote, Outcome::kUnknown);
+      Refuse(std::move(held->job), outcome, "pool closed");
+    }
+    held->link->Close();
+  }
+  running_ = 0;
+  ServeFloorWaiters(Now(), true);
+}
+
+}  // namespace cardamomchute
--- a/relay/src/endpoint_pool_watch.cc
+++ b/relay/src/endpoint_pool_watch.cc
@@ -47,8 +47,7 @@
     queue_.Remove(it->first);
     std::unique_ptr<Job> job = std::move(it->second);
     it = jobs_.erase(it);
-    bool transaction = job->request.step == RunStep::kNext ||
-                       job->request.step == RunStep::kCommit;
+    bool transaction = InTransaction(job->request.step);
     if (transaction) Abandon(job->key, job->request.run);
     Refuse(std::move(job), transaction ? Outcome::kAborted : Outcome::kBusy,
            "waited too long for a slot");
@@ -60,9 +59,7 @@
   std::vector<std::unique_ptr<Job>> late;
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     Job& job = *it->second;
-    bool begins = job.request.step == RunStep::kSingle ||
-                  job.request.step == RunStep::kFirst;
-    if (job.late || !begins || now < job.target) {
+    if (job.late || InTransaction(job.request.step) || now < job.target) {
       ++it;
       continue;
     }
