--- a/apps/cardamomchuted/fleet_controller_node.cc
+++ b/apps/cardamomchuted/fleet_controller_node.cc
@@ -36,6 +36,7 @@
   params.may_bootstrap = settings_.may_bootstrap;
   params.parse_layout = DecodeLayout;
   params.endpoint_protocol = LineEndpointProtocol();
+  params.fencing = settings_.fencing;
   if (settings_.promote_address)
     params.promote = PromoteAt(&control_, *settings_.promote_address);
   else
--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -36,6 +36,11 @@
   control.peers = settings_.peers;
   control.slots_carried = SlotsForBandwidth(settings_.link_mbps);
   control.on_push = [this](const DirectoryPush& push) { OnPush(push); };
+  control.on_lease = [this](const PrimaryLeaseGrant& grant) {
+    asio::post(traffic_, [relay = relay_, grant] {
+      relay->OnLeases(grant.number, grant.valid, grant.primaries);
+    });
+  };
   control.seeds = [this] {
     // The file may change without a signal.
     if (std::optional<NodeSettings> now = reload_())
@@ -59,6 +64,14 @@
       link_->Report(group, endpoint, trouble);
     });
   };
+  if (!settings_.fencing) {
+    relay.ask_leases = [this](uint64_t number,
+                              const std::vector<GroupId>& groups) {
+      asio::post(control_, [this, number, groups] {
+        link_->RequestLeases({number, groups});
+      });
+    };
+  }
   relay_ = std::make_shared<Relay>(std::move(relay));
   BOOST_OUTCOME_TRYV(relay_->Start());
 
--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -25,6 +25,7 @@
   Address peers;                             ///< where other relays connect
   uint32_t slots_carried = kSlotsPerHolder;  ///< see RelayRecord
   std::function<void(const DirectoryPush&)> on_push;
+  std::function<void(const PrimaryLeaseGrant&)> on_lease = [](const PrimaryLeaseGrant&) {};
   /// Returns the currently configured seeds; called before each connection
   /// attempt.
   std::function<std::vector<Address>()> seeds;
@@ -41,6 +42,8 @@
   /// Reports a problem with an endpoint; dropped while the link is down.
   void Report(const GroupId& group, const EndpointId& endpoint,
               EndpointProblem trouble);
+  /// Requests leases on primaries; dropped while the link is down.
+  void RequestLeases(const PrimaryLeaseRequest& request);
   void Stop();
 
  private:
--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -13,10 +13,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cardamomchute/fleet/messages.h"
+#include "cardamomchute/fleet/primary_lease_server.h"
 #include "cardamomchute/fleet/primary_replacement.h"
 #include "cardamomchute/peers/leadership_barrier.h"
 #include "cardamomchute/peers/quorum_host.h"
@@ -34,6 +36,9 @@
   std::function<Result<Layout>(std::string_view)> parse_layout;
   EndpointProtocol endpoint_protocol;
   PromoteFunction promote;
+  /// The platform checks fence tokens, and a replaced primary refuses all
+  /// statements that need the primary. Relays then need no leases.
+  bool fencing = false;
   std::function<void(Error)> on_failure;
 };
 
@@ -101,6 +106,9 @@
   void OnRelayReport(const LinkPtr& link, const RelayReport& report);
   void OnTrouble(const TroubleReport& report);
   void OnLagging(const TroubleReport& report);
+  void OnLeaseRequest(const LinkPtr& link, const PrimaryLeaseRequest& request);
+  void OnGrantableRequest(const GrantableRequest& request);
+  void SendToLeader(const FleetMessage& message);
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
   void SendWhole(const LinkPtr& link, uint64_t known_version);
@@ -115,12 +123,17 @@
   void ReviewPrimary(const GroupId& group, Time now);
   void SetPrimary(const GroupId& group, const EndpointId& endpoint, Term term);
   void StartSuccession(const GroupId& group, PrimaryReplacementCause cause);
+  std::optional<GrantableLeases> Grantable() const;
+  /// Time until which relays may use the group's former primary.
+  Time LeasesEndOf(const GroupId& group) const;
+  void ConfirmAndRun(std::function<void(Time)> run);
   std::vector<EndpointRecord> CountedMembers(const GroupId& group) const;
   std::set<GroupId> Groups() const;
 
   FleetControllerParams params_;
   std::shared_ptr<QuorumHost> host_;
   LeadershipBarrier rounds_;
+  PrimaryLeaseServer leases_;
   StoredLayout layout_;
   std::optional<Layout> parsed_;
   bool layout_due_ = false;  ///< not yet pushed to relays
@@ -131,6 +144,9 @@
   DirectoryDelta to_relays_;
   DirectoryDelta to_members_;
   std::map<GroupId, std::shared_ptr<PrimaryReplacement>> successions_;
+  /// Groups whose recorded primary this leader knows to be the only one, and
+  /// for which it has no request to promote outstanding.
+  std::set<GroupId> confirmed_;
   std::map<GroupId, Time> next_review_;
   std::map<GroupId, Time> primary_set_at_;
   std::map<GroupId, Time> next_lag_look_;
--- a/fleet/include/cardamomchute/fleet/messages.h
+++ b/fleet/include/cardamomchute/fleet/messages.h
@@ -4,6 +4,7 @@
 #ifndef CARDAMOMCHUTE_FLEET_MESSAGES_H_
 #define CARDAMOMCHUTE_FLEET_MESSAGES_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -55,8 +56,38 @@
   MSGPACK_DEFINE(members)
 };
 
+/// A relay requests leases on the primaries of `groups`.
+struct PrimaryLeaseRequest {
+  uint64_t number = 0;
+  std::vector<GroupId> groups;
+  MSGPACK_DEFINE(number, groups)
+};
+
+/// Answers a PrimaryLeaseRequest: leases on `primaries`, for `valid` from when the
+/// request was sent. Groups whose primary is in doubt are left out.
+struct PrimaryLeaseGrant {
+  uint64_t number = 0;
+  Duration valid;
+  std::map<GroupId, EndpointId> primaries;
+  MSGPACK_DEFINE(number, valid, primaries)
+};
+
+/// A control member requests the leases that it may grant from the leader.
+struct GrantableRequest {
+  VmId from;
+  uint64_t number = 0;
+  MSGPACK_DEFINE(from, number)
+};
+
+/// Answers a GrantableRequest as PrimaryLeaseGrant does, for all groups.
+struct GrantableAnswer {
+  PrimaryLeaseGrant grant;
+  MSGPACK_DEFINE(grant)
+};
+
 using FleetMessage =
-    std::variant<RelayReport, TroubleReport, DirectoryPush, Farewell>;
+    std::variant<RelayReport, TroubleReport, DirectoryPush, Farewell,
+                 PrimaryLeaseRequest, PrimaryLeaseGrant, GrantableRequest, GrantableAnswer>;
 
 }  // namespace cardamomchute
 
--- a/fleet/include/cardamomchute/fleet/node_settings.h
+++ b/fleet/include/cardamomchute/fleet/node_settings.h
@@ -44,6 +44,9 @@
   bool may_bootstrap = false;
   std::string data_folder;                 ///< control server only
   std::optional<Address> promote_address;  ///< control server only
+  /// Whether a replaced primary refuses statements by itself, and the platform
+  /// checks fence tokens. If not, relays need leases to read at a primary.
+  bool fencing = false;
   /// Time between SIGTERM and SIGKILL.
   Duration grace = Seconds(6);
 };
--- a/fleet/include/cardamomchute/fleet/primary_replacement.h
+++ b/fleet/include/cardamomchute/fleet/primary_replacement.h
@@ -1,6 +1,7 @@
-/// Replaces the primary of one group: queries the endpoints, pauses replication
-/// on the replicas, promotes one and waits until it is the primary. The
-/// decisions are made by the policy library.
+/// Replaces the primary of one group: queries the endpoints, demotes the old
+/// primary if it can be reached, pauses replication on the replicas, promotes
+/// one and waits until it is the primary. The decisions are made by the policy
+/// library.
 #ifndef CARDAMOMCHUTE_FLEET_PRIMARY_REPLACEMENT_H_
 #define CARDAMOMCHUTE_FLEET_PRIMARY_REPLACEMENT_H_
 
@@ -24,11 +25,15 @@
   VmId holder;  ///< requesting control member
   /// Increases with each control leader and each newly chosen endpoint.
   uint64_t fence_token = 0;
+  /// Another control leader may have sent a request after this time: the
+  /// request is dropped unless it can be written before.
+  Time send_before;
 };
 
 enum class PromoteOutcome : uint8_t {
   kAccepted,  ///< the promotion will be carried out
   kRefused,   ///< stale token, or the endpoint is not running
+  kNotSent,   ///< dropped: too late to send it, or no connection
   kUnknown    ///< no conclusive answer; the promotion may still happen
 };
 
@@ -58,9 +63,22 @@
   /// Returns the group's current members without those lost permanently.
   std::function<std::vector<EndpointRecord>()> members;
   std::function<uint64_t()> next_token;
-  /// Runs its argument once a quorum has confirmed that this VM is the leader.
-  std::function<void(std::function<void()>)> confirm;
+  /// Whether this control leader has ordered nothing for the group since it
+  /// confirmed the primary, so that paused replicas may be resumed.
+  std::function<bool()> may_resume;
+  /// Returns the time until which relays may use the former primary.
+  std::function<Time()> leases_end;
+  /// Returns the time until which an earlier control leader may send requests
+  /// to promote; this one sends none before.
+  std::function<Time()> requests_from;
+  /// Runs its argument once a quorum has confirmed that this VM is the leader,
+  /// with the time until which no other leader sends requests.
+  std::function<void(std::function<void(Time)>)> confirm;
   PromoteFunction promote;
+  /// Notes that a request to promote is about to be sent.
+  std::function<void()> ordered;
+  /// Notes whether the primary that `adopt` records is known to be the only one.
+  std::function<void(bool)> confirmed;
   /// Records the endpoint as primary in the given term.
   std::function<void(const EndpointId&, Term)> adopt;
   std::function<void()> done;
@@ -86,12 +104,21 @@
               Time until, std::function<void(MemberStatus)> done);
   void QueryStatus();
   void OnStatusAnswers(const Answers& answers);
+  bool ShouldKeep(const Answers& answers,
+                  const std::optional<MemberStatus>& leader) const;
+  void Demote(const EndpointRecord& primary, Term term);
+  void OnDemoted(const MemberStatus& answer);
+  Duration LogEndWait() const;
   void Decide(const Answers& answers);
   void Keep(const Answers& answers, const MemberStatus& leader);
   void PauseAll(Term term);
   void Promote(const EndpointId& endpoint);
-  void CallPromote();
+  void ConfirmAndCall();
+  void CallPromote(Time send_before);
+  void OnPromoteOutcome(PromoteOutcome outcome);
   void Poll();
+  void UsePrimary(Term term, bool former_follows);
+  void AdoptChosen();
   void After(Duration pause, void (PrimaryReplacement::*next)());
   void Finish();
   const EndpointRecord* Find(const std::vector<EndpointRecord>& members,
@@ -105,6 +132,11 @@
   std::optional<PromoteRequest> order_;
   EndpointRecord chosen_;
   Time called_;
+  FormerPrimary former_;
+  MemberStatus former_status_;  ///< its answer when it was demoted
+  bool demote_tried_ = false;
+  Time demoted_at_;
+  Term chosen_term_;
 };
 
 }  // namespace cardamomchute
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -111,6 +111,8 @@
     if (!push->members.empty()) members_ = push->members;
     return params_.on_push(*push);
   }
+  if (const auto* grant = std::get_if<PrimaryLeaseGrant>(&message.value()))
+    return params_.on_lease(*grant);
   if (const auto* farewell = std::get_if<Farewell>(&message.value())) {
     if (!farewell->members.empty()) members_ = farewell->members;
     Lose("the control member lost contact with the quorum");
@@ -136,6 +138,11 @@
                                        group, endpoint, trouble, params_.vm})));
 }
 
+void ControlLink::RequestLeases(const PrimaryLeaseRequest& request) {
+  if (!link_) return;
+  link_->Send(FrameType::kControl, PackVariant(FleetMessage(request)));
+}
+
 void ControlLink::Stop() {
   stopped_ = true;
   timer_.cancel();
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -45,7 +45,11 @@
 
 FleetController::FleetController(FleetControllerParams params)
     : params_(std::move(params)),
-      rounds_([this] { return host_->BeginRound(); }) {}
+      rounds_([this] { return host_->BeginRound(); }),
+      leases_({MemberVm(params_.listen), [this] { return Grantable(); },
+               [this](const GrantableRequest& request) {
+                 SendToLeader(request);
+               }}) {}
 
 FleetController::~FleetController() { Stop(); }
 
@@ -212,6 +216,8 @@
   successions_.clear();
   changes_ = 0;
   tokens_ = 0;
+  confirmed_.clear();
+  leases_.OnLeadershipChange(is_leader);
   if (is_leader) next_review_.clear();
 }
 
@@ -232,10 +238,40 @@
     return OnRelayReport(link, *report);
   if (const auto* trouble = std::get_if<TroubleReport>(&message))
     return OnTrouble(*trouble);
+  if (const auto* request = std::get_if<PrimaryLeaseRequest>(&message))
+    return OnLeaseRequest(link, *request);
+  if (const auto* request = std::get_if<GrantableRequest>(&message))
+    return OnGrantableRequest(*request);
+  if (const auto* answer = std::get_if<GrantableAnswer>(&message))
+    return leases_.OnGrantableAnswer(*answer);
   if (const auto* push = std::get_if<DirectoryPush>(&message))
     return TakeDelta(push->delta, true);
 }
 
+void FleetController::OnLeaseRequest(const LinkPtr& link,
+                                     const PrimaryLeaseRequest& request) {
+  std::weak_ptr<Link> weak = link;
+  leases_.OnRequest(request, [weak](const PrimaryLeaseGrant& grant) {
+    LinkPtr to = weak.lock();
+    if (to) to->Send(FrameType::kControl, PackMessage(grant));
+  });
+}
+
+void FleetController::OnGrantableRequest(const GrantableRequest& request) {
+  std::optional<GrantableAnswer> answer = leases_.OnGrantableRequest(request);
+  if (!answer) return;
+  host_->SendTo(request.from, FrameType::kControl, PackMessage(*answer));
+}
+
+void FleetController::SendToLeader(const FleetMessage& message) {
+  const QuorumState& quorum = host_->quorum();
+  auto leader = quorum.config.members.find(quorum.leader);
+  bool known = leader != quorum.config.members.end() &&
+               quorum.leader != quorum.self;
+  if (!known) return;
+  host_->SendTo(leader->second.vm, FrameType::kControl, PackMessage(message));
+}
+
 void FleetController::OnRelayReport(const LinkPtr& link,
                                     const RelayReport& report) {
   bool first = !relays_.contains(link.get());
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -87,18 +87,41 @@
     if (can_follow)
       return StartSuccession(group, PrimaryReplacementCause::kLeaving);
   }
-  if (contradicted) StartSuccession(group, PrimaryReplacementCause::kReview);
+  // A lease is granted only on a primary that this leader has confirmed.
+  bool unconfirmed = !params_.fencing && !confirmed_.contains(group);
+  if (contradicted || unconfirmed)
+    StartSuccession(group, PrimaryReplacementCause::kReview);
 }
 
-void FleetController::OnTrouble(const TroubleReport& report) {
-  if (!host_->leading()) {
-    const QuorumState& quorum = host_->quorum();
-    auto leader = quorum.config.members.find(quorum.leader);
-    if (leader == quorum.config.members.end()) return;
-    host_->SendTo(leader->second.vm, FrameType::kControl,
-                  PackVariant(FleetMessage(report)));
-    return;
+std::optional<GrantableLeases> FleetController::Grantable() const {
+  if (!host_ || !host_->leading()) return std::nullopt;
+  std::optional<Time> confirmed_at = host_->quorum().confirmed_at;
+  if (!confirmed_at || Now() >= LeaseEnd(*confirmed_at)) return std::nullopt;
+  GrantableLeases leases;
+  leases.until = LeaseEnd(*confirmed_at);
+  for (const GroupId& group : confirmed_) {
+    auto primary = directory_.primaries.find(group);
+    bool certain = primary != directory_.primaries.end() &&
+                   !successions_.contains(group);
+    if (certain) leases.primaries[group] = primary->second.endpoint;
   }
+  return leases;
+}
+
+Time FleetController::LeasesEndOf(const GroupId& group) const {
+  return params_.fencing ? Time() : leases_.EndOf(group);
+}
+
+/// Runs `run` once a quorum has confirmed the leadership in a round that starts
+/// now or later, with the time until which no other leader sends requests.
+void FleetController::ConfirmAndRun(std::function<void(Time)> run) {
+  Time asked = Now();
+  rounds_.Add({[asked, run = std::move(run)] { run(LeaseEnd(asked)); },
+               [] {}});
+}
+
+void FleetController::OnTrouble(const TroubleReport& report) {
+  if (!host_->leading()) return SendToLeader(report);
   if (report.trouble == EndpointProblem::kLagging) return OnLagging(report);
   const EndpointRecord* primary = CurrentPrimary(directory_, report.group);
   bool of_lead = primary != nullptr && primary->id == report.endpoint;
@@ -174,15 +197,29 @@
   params.next_token = [this] {
     return host_->quorum().vote.term.value() * kTokensPerTerm + ++tokens_;
   };
-  params.confirm = [this](std::function<void()> run) {
-    rounds_.Add({std::move(run), [] {}});
+  params.may_resume = [this, group] { return confirmed_.contains(group); };
+  params.leases_end = [this, group] { return LeasesEndOf(group); };
+  params.requests_from = [this] {
+    return params_.fencing ? Time() : leases_.InheritedEnd();
+  };
+  params.confirm = [this](std::function<void(Time)> run) {
+    ConfirmAndRun(std::move(run));
+  };
+  params.ordered = [this, group] { confirmed_.erase(group); };
+  params.confirmed = [this, group](bool confirmed) {
+    if (confirmed)
+      confirmed_.insert(group);
+    else
+      confirmed_.erase(group);
   };
   params.promote = params_.promote;
   params.adopt = [this, group](const EndpointId& endpoint, Term term) {
     SetPrimary(group, endpoint, term);
   };
   params.done = [this, group, cause] {
-    bool review = cause == PrimaryReplacementCause::kReview;
+    // What is not confirmed yet is reviewed again soon.
+    bool review = cause == PrimaryReplacementCause::kReview &&
+                  (params_.fencing || confirmed_.contains(group));
     next_review_[group] =
         Now() + (review ? kContradictionInterval : kReviewInterval);
     successions_.erase(group);
--- a/fleet/src/node_settings.cc
+++ b/fleet/src/node_settings.cc
@@ -58,6 +58,7 @@
     settings->seeds.push_back(*seed);
   }
   settings->may_bootstrap = control->BoolOr("may_found", false);
+  settings->fencing = control->BoolOr("fencing", false);
   settings->data_folder = control->TextOr("data_folder", "");
   settings->promote_address = control->OptionalAddressAt("promote_at");
   if (settings->kind == NodeKind::kFleetController &&
--- a/fleet/src/primary_replacement.cc
+++ b/fleet/src/primary_replacement.cc
@@ -22,6 +22,10 @@
 /// A promote request that had no effect is repeated with the same fence token
 /// after this long.
 constexpr Duration kPromoteRetryDelay = Millis(1500);
+/// Time that replicas get to receive the rest of a demoted primary's log. The
+/// log of a primary that leaves is lost with it.
+constexpr Duration kLogEndWaitLeaving = Seconds(2);
+constexpr Duration kLogEndWaitLagging = Millis(300);
 /// The replacement is abandoned after this long; a new one may then start.
 constexpr Duration kReplacementTimeout = Seconds(6);
 
@@ -44,7 +48,9 @@
 }
 
 PrimaryReplacement::PrimaryReplacement(PrimaryReplacementParams params)
-    : params_(std::move(params)), timer_(params_.executor), started_(Now()) {}
+    : params_(std::move(params)), timer_(params_.executor), started_(Now()) {
+  former_.endpoint = params_.primary;
+}
 
 void PrimaryReplacement::Start() {
   LogLine(LogLevel::kInfo, "succession_started")
@@ -223,22 +229,38 @@
         .Field("lag_ms", answer.lag.ms());
   }
   std::optional<MemberStatus> leader = FindHighestTermPrimary(answers);
-  bool current = leader && leader->term >= HighestTerm(answers);
-  bool must_go =
-      params_.cause == PrimaryReplacementCause::kStalled ||
-      params_.cause == PrimaryReplacementCause::kLeaving ||
-      (params_.cause == PrimaryReplacementCause::kLagging &&
-       ShouldReplaceForLag(answers, params_.primary, params_.lag_bound));
-  bool keep = current && !(must_go && leader->endpoint.id == params_.primary);
-  if (keep) return Keep(answers, *leader);
+  if (ShouldKeep(answers, leader)) return Keep(answers, *leader);
+  bool reachable = leader && leader->endpoint.id == params_.primary;
+  if (reachable && !demote_tried_)
+    return Demote(leader->endpoint, HighestTerm(answers).Next());
   Decide(answers);
 }
 
+bool PrimaryReplacement::ShouldKeep(
+    const Answers& answers, const std::optional<MemberStatus>& leader) const {
+  bool current = leader && leader->term >= HighestTerm(answers);
+  if (!current) return false;
+  if (leader->endpoint.id != params_.primary) return true;
+  // A request to promote may still take effect, and then without the commits
+  // that resumed replicas have acknowledged.
+  bool may_be_ordered =
+      order_ || (AnyPaused(answers) && !params_.may_resume());
+  if (may_be_ordered) return false;
+  switch (params_.cause) {
+    case PrimaryReplacementCause::kStalled:
+    case PrimaryReplacementCause::kLeaving:
+      return false;
+    case PrimaryReplacementCause::kLagging:
+      return !ShouldReplaceForLag(answers, params_.primary, params_.lag_bound);
+    default:
+      return true;
+  }
+}
+
 /// Keeps the current primary. Demotes endpoints that still act as primary of an
 /// older term, and resumes paused replicas.
 void PrimaryReplacement::Keep(const Answers& answers,
                               const MemberStatus& leader) {
-  params_.adopt(leader.endpoint.id, leader.term);
   for (const MemberStatus& answer : answers) {
     if (!answer.answered || answer.endpoint.id == leader.endpoint.id) continue;
     bool stale = answer.is_primary && answer.term < leader.term;
@@ -253,11 +275,62 @@
         .Field("term", leader.term);
     Ask(answer.endpoint, command, Now() + kAskTimeout, [](MemberStatus) {});
   }
-  After(kStatusInterval, &PrimaryReplacement::Finish);
+  if (leader.endpoint.id == params_.primary) {
+    params_.confirmed(ConfirmsPrimary(answers, params_.primary));
+    params_.adopt(leader.endpoint.id, leader.term);
+    return After(kStatusInterval, &PrimaryReplacement::Finish);
+  }
+  bool follows = std::any_of(answers.begin(), answers.end(),
+                             [this](const MemberStatus& answer) {
+                               return answer.endpoint.id == params_.primary &&
+                                      answer.answered && !answer.is_primary;
+                             });
+  chosen_ = leader.endpoint;
+  UsePrimary(leader.term, follows);
+}
+
+/// Demotes a reachable primary: no commit is acknowledged afterwards, not even
+/// through a replica that no control member knows.
+void PrimaryReplacement::Demote(const EndpointRecord& primary, Term term) {
+  demote_tried_ = true;
+  std::shared_ptr<PrimaryReplacement> self = shared_from_this();
+  Ask(primary, {.kind = CommandKind::kDemote, .term = term},
+      Now() + kAskPrimaryTimeout, [self](const MemberStatus& answer) {
+        if (!self->stopped_) self->OnDemoted(answer);
+      });
+}
+
+void PrimaryReplacement::OnDemoted(const MemberStatus& answer) {
+  bool demoted = answer.answered && !answer.is_primary;
+  LogLine(LogLevel::kInfo, "primary_demoted")
+      .Field("group", params_.group)
+      .Field("endpoint", params_.primary)
+      .Field("demoted", demoted)
+      .Field("received", ToString(answer.received));
+  if (demoted) {
+    former_.log_end = answer.received;
+    former_status_ = answer;
+    demoted_at_ = Now();
+  }
+  QueryStatus();
+}
+
+Duration PrimaryReplacement::LogEndWait() const {
+  switch (params_.cause) {
+    case PrimaryReplacementCause::kLeaving:
+      return kLogEndWaitLeaving;
+    case PrimaryReplacementCause::kStalled:
+      // Replicas that could receive more would have acknowledged a write.
+      return Duration();
+    default:
+      return kLogEndWaitLagging;
+  }
 }
 
 void PrimaryReplacement::Decide(const Answers& answers) {
-  ReplacementDecision verdict = NextReplacementStep(answers, params_.primary);
+  former_.wait_for_log_end =
+      former_.log_end && Now() < demoted_at_ + LogEndWait();
+  ReplacementDecision verdict = NextReplacementStep(answers, former_);
   switch (verdict.step) {
     case ReplacementStep::kPause:
       return PauseAll(verdict.term);
@@ -266,7 +339,8 @@
     case ReplacementStep::kAdopt:
     case ReplacementStep::kKeep:
     case ReplacementStep::kWait:
-      After(kStatusInterval, &PrimaryReplacement::QueryStatus);
+      After(former_.log_end ? kPollInterval : kStatusInterval,
+            &PrimaryReplacement::QueryStatus);
   }
 }
 
@@ -275,8 +349,9 @@
   AskAll(CommandKind::kPause, term, false, [self](Answers answers) {
     // The old primary was not asked, as it may not respond.
     for (const EndpointRecord& member : self->params_.members()) {
-      if (member.id == self->params_.primary)
-        answers.push_back(MemberStatus{.endpoint = member});
+      if (member.id != self->params_.primary) continue;
+      self->former_status_.endpoint = member;
+      answers.push_back(self->former_status_);
     }
     self->Decide(answers);
   });
@@ -291,36 +366,50 @@
   chosen_ = *record;
   if (!same) {
     order_ = PromoteRequest{params_.group, endpoint, params_.holder,
-                            params_.next_token()};
+                            params_.next_token(), Time()};
   }
+  ConfirmAndCall();
+}
+
+void PrimaryReplacement::ConfirmAndCall() {
+  Duration wait = params_.requests_from() - Now();
+  if (wait > Duration()) return After(wait, &PrimaryReplacement::QueryStatus);
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
-  params_.confirm([self] {
-    if (!self->stopped_) self->CallPromote();
+  params_.confirm([self](Time send_before) {
+    if (!self->stopped_ && self->order_) self->CallPromote(send_before);
   });
 }
 
-void PrimaryReplacement::CallPromote() {
+void PrimaryReplacement::CallPromote(Time send_before) {
   called_ = Now();
+  order_->send_before = send_before;
+  params_.ordered();
   LogLine(LogLevel::kInfo, "promote")
       .Field("group", order_->group)
       .Field("endpoint", order_->endpoint)
       .Field("token", order_->fence_token);
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
   params_.promote(*order_, [self](PromoteOutcome outcome) {
-    if (self->stopped_) return;
-    LogLine(LogLevel::kInfo, "promote_answered")
-        .Field("group", self->order_->group)
-        .Field("endpoint", self->order_->endpoint)
-        .Field("outcome", static_cast<int>(outcome));
-    if (outcome != PromoteOutcome::kRefused) return;
-    // The next attempt chooses an endpoint again and uses a new fence token.
-    self->order_.reset();
-    self->timer_.cancel();
-    self->After(kStatusInterval, &PrimaryReplacement::QueryStatus);
+    if (!self->stopped_) self->OnPromoteOutcome(outcome);
   });
   After(kPollInterval, &PrimaryReplacement::Poll);
 }
 
+void PrimaryReplacement::OnPromoteOutcome(PromoteOutcome outcome) {
+  if (!order_) return;
+  LogLine(LogLevel::kInfo, "promote_answered")
+      .Field("group", order_->group)
+      .Field("endpoint", order_->endpoint)
+      .Field("outcome", static_cast<int>(outcome));
+  bool no_effect = outcome == PromoteOutcome::kRefused ||
+                   outcome == PromoteOutcome::kNotSent;
+  if (!no_effect) return;
+  // The next attempt chooses an endpoint again and uses a new fence token.
+  order_.reset();
+  timer_.cancel();
+  After(kStatusInterval, &PrimaryReplacement::QueryStatus);
+}
+
 void PrimaryReplacement::Poll() {
   Time now = Now();
   if (now - started_ > kReplacementTimeout) return Finish();
@@ -328,19 +417,48 @@
   Ask(chosen_, {.kind = CommandKind::kStatus}, now + kAskTimeout,
       [self](const MemberStatus& answer) {
         if (self->stopped_ || !self->order_) return;
-        if (answer.answered && answer.is_primary) {
-          self->params_.adopt(answer.endpoint.id, answer.term);
-          return self->Finish();
-        }
+        if (answer.answered && answer.is_primary)
+          return self->UsePrimary(answer.term,
+                                  self->former_.log_end.has_value());
         if (!answer.answered) {
           return self->After(kStatusInterval, &PrimaryReplacement::QueryStatus);
         }
         if (Now() - self->called_ > kPromoteRetryDelay)
-          return self->CallPromote();
+          return self->ConfirmAndCall();
         self->After(kPollInterval, &PrimaryReplacement::Poll);
       });
 }
 
+/// Uses `chosen_` as primary once no relay may use the former one any more: at
+/// once if that one is known to be a replica, else when all leases have ended.
+void PrimaryReplacement::UsePrimary(Term term, bool former_follows) {
+  chosen_term_ = term;
+  Duration wait = params_.leases_end() - Now();
+  if (former_follows || wait <= Duration()) return AdoptChosen();
+  LogLine(LogLevel::kInfo, "primary_lease_wait")
+      .Field("group", params_.group)
+      .Field("former", params_.primary)
+      .Field("wait_ms", wait.ms());
+  After(wait, &PrimaryReplacement::AdoptChosen);
+  std::vector<EndpointRecord> members = params_.members();
+  const EndpointRecord* former = Find(members, params_.primary);
+  if (former == nullptr) return;
+  std::shared_ptr<PrimaryReplacement> self = shared_from_this();
+  Ask(*former, {.kind = CommandKind::kDemote, .term = term}, Now() + wait,
+      [self](const MemberStatus& answer) {
+        bool demoted = answer.answered && !answer.is_primary;
+        if (self->stopped_ || !demoted) return;
+        self->timer_.cancel();
+        self->AdoptChosen();
+      });
+}
+
+void PrimaryReplacement::AdoptChosen() {
+  params_.confirmed(true);
+  params_.adopt(chosen_.id, chosen_term_);
+  Finish();
+}
+
 const EndpointRecord* PrimaryReplacement::Find(
     const std::vector<EndpointRecord>& members, const EndpointId& id) const {
   auto it = std::find_if(
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -172,7 +172,9 @@
 
 /// A group of three behind a cluster that looks after its lead.
 struct Succession {
-  Succession() : cluster(3), group(&cluster.io, "g1", 3) {
+  /// The first three of `members` have announced themselves.
+  explicit Succession(size_t members = 3)
+      : cluster(3), group(&cluster.io, "g1", members) {
     cluster.on_promote = [this](const PromoteRequest& order,
                                 std::function<void(PromoteOutcome)> done) {
       if (lose_orders > 0) {
@@ -304,6 +306,75 @@
   BOOST_TEST(!s.group.member(0).is_primary);
 }
 
+/// Announces that the primary is about to shut down.
+void AnnounceLeaving(Succession* s) {
+  EndpointRecord leaving = s->group.Record(0, "a", ++s->sequence);
+  leaving.leaving = true;
+  BOOST_REQUIRE(s->cluster.At(0)->Announce(leaving));
+}
+
+/// A replica that no control member knows receives commits, and so has them
+/// acknowledged, while all known replicas are paused.
+BOOST_AUTO_TEST_CASE(no_commit_is_acknowledged_after_the_positions_are_read) {
+  Succession s(4);
+  int pauses = 0;
+  bool acknowledged = false;
+  s.group.on_pause = [&] {
+    // All known replicas are paused after the second.
+    if (++pauses == 2) acknowledged = s.group.Commit("k", "late");
+  };
+  AnnounceLeaving(&s);
+  BOOST_REQUIRE(
+      s.cluster.RunUntil([&] { return s.LeadIs("g1-1") || s.LeadIs("g1-2"); }));
+  BOOST_TEST(pauses == 2);
+  BOOST_TEST(s.group.CountOf("late") == (acknowledged ? 1u : 0u));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_joins_meanwhile_and_has_more_takes_over) {
+  Succession s(4);
+  s.group.member(1).cut_off = true;
+  s.group.member(2).cut_off = true;
+  BOOST_REQUIRE(s.group.Commit("k", "kept"));
+  AnnounceLeaving(&s);
+  s.cluster.RunUntil([&] { return !s.group.member(0).is_primary; },
+                     Millis(500));
+  BOOST_REQUIRE(s.cluster.At(1)->Announce(s.group.Record(3, "a", 1)));
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.LeadIs("g1-3"); }));
+  BOOST_TEST(s.group.CountOf("kept") == 1u);
+}
+
+/// Nobody else has the newest commits, and the primary stays: it takes over
+/// again.
+BOOST_AUTO_TEST_CASE(a_lagging_group_keeps_the_primary_that_alone_has_all) {
+  Succession s(4);
+  BOOST_REQUIRE((s.cluster.Put(BoundedLayoutText(2)) == CallOutcome::kDone));
+  for (size_t i = 1; i < 3; ++i) {
+    s.group.member(i).cut_off = true;
+    s.group.member(i).lag_ms = 4000;
+  }
+  BOOST_REQUIRE(s.group.Commit("k", "kept"));
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.listener->link->Report(GroupId("g1"), EndpointId("g1-1"),
+                           EndpointProblem::kLagging);
+  BOOST_TEST(s.cluster.RunUntil([&] { return !s.cluster.orders.empty(); }));
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.group.member(0).is_primary; }));
+  BOOST_TEST(s.group.CountOf("kept") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_stalled_primary_acknowledges_nothing_more_either) {
+  Succession s(4);
+  int pauses = 0;
+  bool acknowledged = false;
+  s.group.on_pause = [&] {
+    if (++pauses == 2) acknowledged = s.group.Commit("k", "late");
+  };
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.Complain(EndpointProblem::kStalled);
+  BOOST_REQUIRE(
+      s.cluster.RunUntil([&] { return s.LeadIs("g1-1") || s.LeadIs("g1-2"); }));
+  BOOST_TEST(s.group.CountOf("late") == (acknowledged ? 1u : 0u));
+}
+
 BOOST_AUTO_TEST_CASE(tokens_rise_with_each_reign) {
   Succession s;
   s.group.Kill(0);
--- a/http/include/cardamomchute/http/http_client.h
+++ b/http/include/cardamomchute/http/http_client.h
@@ -17,6 +17,9 @@
   std::string target;
   std::string body;
   std::map<std::string, std::string> headers = {};
+  /// Checked once connected, right before the request is written: if it returns
+  /// false, nothing is sent and the call ends with kUnavailable.
+  std::function<bool()> may_send = nullptr;
 };
 
 /// Sends one request from `io`; `done` runs once, after at most `timeout`.
--- a/http/src/http_client.cc
+++ b/http/src/http_client.cc
@@ -33,6 +33,7 @@
     request_.keep_alive(false);
     request_.body() = call.body;
     request_.prepare_payload();
+    may_send_ = call.may_send;
   }
 
   void Start(const asio::ip::address& host, Duration timeout) {
@@ -40,12 +41,22 @@
     stream_.async_connect(tcp::endpoint(host, server_.port),
                           [self = shared_from_this()](error_code error) {
                             if (error) return self->Fail(error);
-                            self->connected_ = true;
-                            self->Write();
+                            self->OnConnected();
                           });
   }
 
  private:
+  void OnConnected() {
+    bool may_send = !may_send_ || may_send_();
+    if (!may_send) {
+      return done_(Error{ErrorKind::kUnavailable,
+                         "the request came too late to be sent",
+                         "confirm that it is still due, then send it again"});
+    }
+    connected_ = true;
+    Write();
+  }
+
   void Write() {
     http::async_write(stream_, request_,
                       [self = shared_from_this()](error_code error, size_t) {
@@ -92,6 +103,7 @@
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
   std::function<void(Result<HttpResponse>)> done_;
+  std::function<bool()> may_send_;
   bool connected_ = false;
 };
 
--- a/policy/include/cardamomchute/policy/primary_replacement.h
+++ b/policy/include/cardamomchute/policy/primary_replacement.h
@@ -1,10 +1,12 @@
 /// Decides how to replace a group's primary, from the status of its endpoints.
 /// Pure functions without I/O.
 ///
-/// A primary acknowledges a commit only after a replica has received it, so it
-/// acknowledges nothing once all replicas are paused (refuse to receive). Then
-/// the replica with the highest received position holds every acknowledged
-/// commit, regardless of network partitions.
+/// A primary acknowledges a commit only after a replica has received it. A
+/// reachable primary is demoted first: from then on nothing is acknowledged, and
+/// a successor is complete if it has received the whole of its log. For a
+/// primary that cannot be reached, all known replicas are paused (refuse to
+/// receive); then the one with the highest received position holds every commit
+/// that a known replica has acknowledged, regardless of network partitions.
 #ifndef CARDAMOMCHUTE_POLICY_PRIMARY_REPLACEMENT_H_
 #define CARDAMOMCHUTE_POLICY_PRIMARY_REPLACEMENT_H_
 
@@ -35,6 +37,15 @@
   kWait      ///< an endpoint that may hold commits has not answered
 };
 
+/// The primary that is being replaced.
+struct FormerPrimary {
+  EndpointId endpoint;
+  /// End of its log, known once it has been demoted.
+  std::optional<Floor> log_end;
+  /// Whether to wait for a replica that has received the log up to `log_end`.
+  bool wait_for_log_end = false;
+};
+
 struct ReplacementDecision {
   ReplacementStep step = ReplacementStep::kKeep;
   EndpointId endpoint;
@@ -48,10 +59,22 @@
 /// Returns the highest term in `all`; a pause must be for a higher term.
 Term HighestTerm(const std::vector<MemberStatus>& all);
 
-/// Returns the next step of replacing `primary`; its own status does
-/// not count. `all` holds the status of every endpoint, `primary` included.
+/// Returns the next step of replacing `former`. Its own status counts only once
+/// it has been demoted: if nobody else has its whole log and it is not leaving,
+/// it becomes primary again. `all` holds the status of every endpoint, `former`
+/// included.
 ReplacementDecision NextReplacementStep(const std::vector<MemberStatus>& all,
-                                        const EndpointId& primary);
+                                        const FormerPrimary& former);
+
+/// Whether any endpoint refuses to receive from the primary of the highest
+/// term, so that an order to promote may be outstanding.
+bool AnyPaused(const std::vector<MemberStatus>& all);
+
+/// Whether the answers show that `primary` is its group's only primary, and that
+/// no request to promote another endpoint is outstanding: the replicas are
+/// paused before any such request.
+bool ConfirmsPrimary(const std::vector<MemberStatus>& all,
+                     const EndpointId& primary);
 
 /// Whether the primary should be replaced because no replica is fresh enough
 /// for reads: every replica that is not leaving lags more than `bound`, and one
--- a/policy/include/cardamomchute/policy/quorum.h
+++ b/policy/include/cardamomchute/policy/quorum.h
@@ -205,6 +205,10 @@
   std::map<MemberId, MemberProgress> progress;
   Round round;
   Round confirmed;
+  /// When each unconfirmed round started (leader only).
+  std::map<Round, Time> round_started;
+  /// Start of the last confirmed round: no other member led at that time.
+  std::optional<Time> confirmed_at;
   bool append_due = false;
   QuorumOutput output;
 };
--- a/policy/src/primary_replacement.cc
+++ b/policy/src/primary_replacement.cc
@@ -31,23 +31,28 @@
 }
 
 ReplacementDecision NextReplacementStep(const std::vector<MemberStatus>& all,
-                                        const EndpointId& primary) {
+                                        const FormerPrimary& former) {
   Term newest = HighestTerm(all);
   ReplacementDecision verdict;
   verdict.term = newest.Next();
   // An earlier promotion request may have taken effect in the meantime.
   std::optional<MemberStatus> leader = FindHighestTermPrimary(all);
-  bool other_leads =
-      leader && leader->endpoint.id != primary && leader->term >= newest;
+  bool other_leads = leader && leader->endpoint.id != former.endpoint &&
+                     leader->term >= newest;
   if (other_leads) {
     verdict.step = ReplacementStep::kAdopt;
     verdict.endpoint = leader->endpoint.id;
     return verdict;
   }
   const MemberStatus* best = nullptr;
+  const MemberStatus* demoted = nullptr;
   bool all_paused = true;
   for (const MemberStatus& answer : all) {
-    if (answer.endpoint.id == primary) continue;
+    if (answer.endpoint.id == former.endpoint) {
+      bool follows = former.log_end && answer.answered && !answer.is_primary;
+      if (follows) demoted = &answer;
+      continue;
+    }
     if (!answer.answered) {
       verdict.step = ReplacementStep::kWait;
       return verdict;
@@ -58,6 +63,14 @@
     };
     if (best == nullptr || rank(answer) > rank(*best)) best = &answer;
   }
+  bool incomplete =
+      former.log_end && (best == nullptr || best->received < *former.log_end);
+  if (incomplete && former.wait_for_log_end) {
+    verdict.step = ReplacementStep::kWait;
+    return verdict;
+  }
+  bool may_return = demoted != nullptr && !demoted->endpoint.leaving;
+  if (incomplete && may_return) best = demoted;
   if (best == nullptr) {
     verdict.step = ReplacementStep::kWait;
   } else if (!all_paused) {
@@ -69,6 +82,28 @@
   return verdict;
 }
 
+bool AnyPaused(const std::vector<MemberStatus>& all) {
+  Term newest = HighestTerm(all);
+  return std::any_of(all.begin(), all.end(),
+                     [newest](const MemberStatus& answer) {
+                       return answer.answered && !answer.is_primary &&
+                              answer.paused_below > newest;
+                     });
+}
+
+bool ConfirmsPrimary(const std::vector<MemberStatus>& all,
+                     const EndpointId& primary) {
+  std::optional<MemberStatus> leader = FindHighestTermPrimary(all);
+  bool current = leader && leader->endpoint.id == primary &&
+                 leader->term >= HighestTerm(all);
+  if (!current || AnyPaused(all)) return false;
+  return all.size() == 1 ||
+         std::any_of(all.begin(), all.end(),
+                     [&primary](const MemberStatus& answer) {
+                       return answer.answered && answer.endpoint.id != primary;
+                     });
+}
+
 bool ShouldReplaceForLag(const std::vector<MemberStatus>& all,
                          const EndpointId& primary, Duration bound) {
   std::optional<MemberStatus> leader = FindHighestTermPrimary(all);
--- a/policy/src/quorum.cc
+++ b/policy/src/quorum.cc
@@ -1,6 +1,7 @@
 #include "cardamomchute/policy/quorum.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cardamomchute {
@@ -104,6 +105,8 @@
   state.progress.clear();
   state.heartbeat_due = now;
   state.confirmed = state.round;
+  state.round_started.clear();
+  state.confirmed_at.reset();
   state.round = state.round.Next();
   SyncProgress(state, now);
   AppendOwn(state, EntryKind::kNoop, "", QuorumConfig());
@@ -226,6 +229,10 @@
   if (reached <= state.confirmed) return;
   state.confirmed = reached;
   state.output.confirmed = reached;
+  auto later = state.round_started.upper_bound(reached);
+  if (later != state.round_started.begin())
+    state.confirmed_at = std::prev(later)->second;
+  state.round_started.erase(state.round_started.begin(), later);
 }
 
 void AdvanceCommit(QuorumState& state, Time now) {
@@ -554,6 +561,7 @@
 QuorumOutput TakeOutput(QuorumState& state, Time now) {
   if (state.role == QuorumRole::kLeader) {
     SyncProgress(state, now);
+    state.round_started.try_emplace(state.round, now);
     bool heartbeat = now >= state.heartbeat_due;
     if (heartbeat) state.heartbeat_due = now + state.timing.heartbeat;
     if (heartbeat || state.append_due) SendAppends(state, heartbeat, now);
--- a/policy/test/primary_replacement-test.cc
+++ b/policy/test/primary_replacement-test.cc
@@ -24,6 +24,7 @@
 }
 
 const EndpointId kPrimary("p");
+const FormerPrimary kUnreachable{kPrimary};
 
 MemberStatus Lagging(const std::string& id, uint64_t received, int64_t ms) {
   MemberStatus answer = Member(id, false, 1, received, 0);
@@ -66,7 +67,7 @@
   ReplacementDecision verdict =
       NextReplacementStep({Unreachable("p"), Member("a", false, 1, 9, 0),
                            Member("b", false, 1, 7, 2)},
-                          kPrimary);
+                          kUnreachable);
   BOOST_TEST((verdict.step == ReplacementStep::kPause));
   BOOST_TEST(verdict.term.value() == 2u);
 }
@@ -75,7 +76,7 @@
   ReplacementDecision verdict =
       NextReplacementStep({Unreachable("p"), Member("a", false, 1, 7, 2),
                            Member("b", false, 1, 9, 2)},
-                          kPrimary);
+                          kUnreachable);
   BOOST_TEST((verdict.step == ReplacementStep::kPromote));
   BOOST_TEST(verdict.endpoint.value() == "b");
 }
@@ -84,32 +85,67 @@
   MemberStatus leaving = Member("a", false, 1, 9, 2);
   leaving.endpoint.leaving = true;
   ReplacementDecision verdict =
-      NextReplacementStep({leaving, Member("b", false, 1, 9, 2)}, kPrimary);
+      NextReplacementStep({leaving, Member("b", false, 1, 9, 2)}, kUnreachable);
   BOOST_TEST(verdict.endpoint.value() == "b");
   leaving.received.position = Position(10);
   BOOST_TEST(
-      NextReplacementStep({leaving, Member("b", false, 1, 9, 2)}, kPrimary)
+      NextReplacementStep({leaving, Member("b", false, 1, 9, 2)}, kUnreachable)
           .endpoint.value() == "a");
 }
 
 BOOST_AUTO_TEST_CASE(waits_for_a_replica_that_does_not_answer) {
   ReplacementDecision verdict = NextReplacementStep(
-      {Member("a", false, 1, 9, 2), Unreachable("b")}, kPrimary);
+      {Member("a", false, 1, 9, 2), Unreachable("b")}, kUnreachable);
   BOOST_TEST((verdict.step == ReplacementStep::kWait));
 }
 
 BOOST_AUTO_TEST_CASE(a_pause_of_an_earlier_term_does_not_count) {
   ReplacementDecision verdict = NextReplacementStep(
-      {Member("a", false, 3, 9, 3), Member("b", false, 3, 9, 4)}, kPrimary);
+      {Member("a", false, 3, 9, 3), Member("b", false, 3, 9, 4)}, kUnreachable);
   BOOST_TEST((verdict.step == ReplacementStep::kPause));
   BOOST_TEST(verdict.term.value() == 4u);
 }
 
+BOOST_AUTO_TEST_CASE(a_demoted_primary_waits_for_a_replica_with_its_log) {
+  FormerPrimary former{kPrimary, Floor{Term(1), Position(9)}, true};
+  MemberStatus p = Member("p", false, 1, 9, 0);
+  MemberStatus a = Member("a", false, 1, 8, 0);
+  MemberStatus b = Member("b", false, 1, 7, 0);
+  // A paused replica could not catch up.
+  BOOST_TEST((NextReplacementStep({p, a, b}, former).step ==
+              ReplacementStep::kWait));
+  a.received.position = Position(9);
+  BOOST_TEST((NextReplacementStep({p, a, b}, former).step ==
+              ReplacementStep::kPause));
+  a.paused_below = b.paused_below = Term(2);
+  BOOST_TEST(NextReplacementStep({p, a, b}, former).endpoint.value() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_demoted_primary_that_alone_has_its_log_returns) {
+  FormerPrimary former{kPrimary, Floor{Term(1), Position(9)}, false};
+  MemberStatus p = Member("p", false, 1, 9, 0);
+  MemberStatus a = Member("a", false, 1, 8, 2);
+  BOOST_TEST(NextReplacementStep({p, a}, former).endpoint.value() == "p");
+  // One that leaves takes its log with it.
+  p.endpoint.leaving = true;
+  BOOST_TEST(NextReplacementStep({p, a}, former).endpoint.value() == "a");
+  p.endpoint.leaving = false;
+  BOOST_TEST(NextReplacementStep({Unreachable("p"), a}, former)
+                 .endpoint.value() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_above_the_newest_term_may_belong_to_an_order) {
+  BOOST_TEST(AnyPaused({Member("p", true, 1, 9, 0), Member("a", false, 1, 9, 2)}));
+  BOOST_TEST(
+      !AnyPaused({Member("p", true, 2, 9, 0), Member("a", false, 2, 9, 2)}));
+  BOOST_TEST(!AnyPaused({Member("p", true, 1, 9, 0), Unreachable("a")}));
+}
+
 BOOST_AUTO_TEST_CASE(a_late_promotion_is_adopted) {
   ReplacementDecision verdict =
       NextReplacementStep({Unreachable("p"), Member("a", true, 2, 9, 0),
                            Member("b", false, 1, 9, 2)},
-                          kPrimary);
+                          kUnreachable);
   BOOST_TEST((verdict.step == ReplacementStep::kAdopt));
   BOOST_TEST(verdict.endpoint.value() == "a");
 }
@@ -124,7 +160,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_group_of_one_has_no_successor) {
-  BOOST_TEST((NextReplacementStep({Unreachable("p")}, kPrimary).step ==
+  BOOST_TEST((NextReplacementStep({Unreachable("p")}, kUnreachable).step ==
               ReplacementStep::kWait));
 }
 
@@ -160,7 +196,7 @@
         answers.push_back(Member("r" + std::to_string(i), false, 1, received[i],
                                  paused[i] ? 2 : 0));
       }
-      ReplacementDecision verdict = NextReplacementStep(answers, kPrimary);
+      ReplacementDecision verdict = NextReplacementStep(answers, kUnreachable);
       if (verdict.step != ReplacementStep::kPromote) continue;
       size_t chosen = std::stoul(verdict.endpoint.value().substr(1));
       BOOST_REQUIRE(received[chosen] >= acknowledged);
--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -4,6 +4,9 @@
 /// At most `slots` statements run at a time, in order of their rank. Statements
 /// that must run on the primary are fenced by the endpoint: they run in a
 /// read-write transaction, which an endpoint that is no longer primary refuses.
+/// Where a replaced primary goes on serving, reads in such a transaction also
+/// need a lease on the primary. Writes need none: no replica receives from a
+/// primary that is being replaced, so nothing is acknowledged.
 #ifndef CARDAMOMCHUTE_RELAY_ENDPOINT_POOL_H_
 #define CARDAMOMCHUTE_RELAY_ENDPOINT_POOL_H_
 
@@ -18,6 +21,7 @@
 #include <vector>
 
 #include "cardamomchute/policy/position.h"
+#include "cardamomchute/policy/primary_lease.h"
 #include "cardamomchute/policy/queue.h"
 #include "cardamomchute/relay/command_connection.h"
 #include "cardamomchute/relay/run.h"
@@ -60,6 +64,8 @@
   /// if there is no answer.
   std::function<void(std::function<void(std::optional<FloorAnswer>)>)>
       ask_floor;
+  /// Requests a lease on the primary; empty if none is needed.
+  std::function<void()> renew_lease;
 };
 
 class EndpointPool : public std::enable_shared_from_this<EndpointPool> {
@@ -67,6 +73,8 @@
   explicit EndpointPool(EndpointPoolParams params);
 
   void SetBounds(const PoolBounds& bounds);
+  /// Sets the lease on this endpoint as the group's primary.
+  void SetLease(const HeldLease& lease);
   /// Opens connections ahead of the first statements: the slots plus a spare.
   void Warm();
   void Submit(RunRequest request, const SessionKey& key, RunDone done);
@@ -113,6 +121,7 @@
     std::optional<SessionKey> pinned;
     uint64_t run = 0;
     bool wrote = false;        ///< the pinned transaction may have writes
+    bool leased = false;       ///< the pinned transaction began under a lease
     bool abandoned = false;    ///< roll back after the running job
     std::unique_ptr<Job> job;  ///< running
     bool sent = false;         ///< the job's statement has been sent
@@ -129,6 +138,8 @@
   void AskFloor();
   void Dispatch();
   bool CanRun(const Job& job);
+  bool LeaseAllows(const Job& job, Time now);
+  void KeepLease(Time now);
   HeldPtr FindPinned(const SessionKey& key, uint64_t run);
   HeldPtr FindIdle(const Job& job);
   bool AnyPinned() const;
@@ -167,9 +178,11 @@
   void ReportAnswer(const Job& job, StatementStatus outcome);
   void Report(EndpointProblem trouble, Time now);
   void ServeFloorWaiters(Time now, bool give_up);
+  void ProbePrimary(Time now);
 
   EndpointPoolParams params_;
   PoolBounds bounds_;
+  HeldLease lease_;
   boost::asio::steady_timer timer_;
   bool ticking_ = false;
   bool closed_ = false;
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -12,9 +12,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "cardamomchute/policy/directory.h"
 #include "cardamomchute/policy/layout.h"
+#include "cardamomchute/policy/primary_lease.h"
 #include "cardamomchute/relay/endpoint_pool.h"
 #include "cardamomchute/relay/protocol.h"
 #include "cardamomchute/relay/relay_mesh.h"
@@ -37,6 +39,9 @@
   /// traffic thread.
   std::function<void(const GroupId&, const EndpointId&, EndpointProblem)>
       report;
+  /// Requests leases on the primaries of these groups; `OnLeases` gets the
+  /// answer. Empty if none are needed. Called on the traffic thread.
+  std::function<void(uint64_t number, const std::vector<GroupId>&)> ask_leases;
 };
 
 /// Destination of a statement.
@@ -54,6 +59,10 @@
   Status Start();
   void OnDirectory(const DirectoryDelta& delta);
   void OnLayout(std::shared_ptr<const Layout> layout);
+  /// Takes the answer to request `number`: leases on `primaries` for `valid`
+  /// from when it was sent.
+  void OnLeases(uint64_t number, Duration valid,
+                const std::map<GroupId, EndpointId>& primaries);
   /// Closes sessions as they become idle, and those with open transactions
   /// after `transactions`. `done` runs once, by `limit` at the latest.
   void Drain(Duration transactions, Duration limit, std::function<void()> done);
@@ -98,6 +107,7 @@
   void SetPoolBounds(const EndpointId& endpoint, EndpointPool* pool);
   void AskFloor(const GroupId& group,
                 std::function<void(std::optional<FloorAnswer>)> done);
+  void AskLease(const GroupId& group);
   void Avoid(const EndpointId& endpoint, const Address& holder);
   bool Avoided(const EndpointId& endpoint, const Address& holder) const;
   MeshHandlers Handlers();
@@ -112,6 +122,12 @@
   std::shared_ptr<const Layout> layout_;
   std::shared_ptr<RelayMesh> mesh_;
   std::map<EndpointId, std::shared_ptr<EndpointPool>> pools_;
+  std::map<GroupId, HeldLease> leases_;
+  /// When the newest lease request of each group was sent.
+  std::map<GroupId, Time> lease_asked_;
+  /// Send times of lease requests without an answer.
+  std::map<uint64_t, Time> lease_requests_;
+  uint64_t next_lease_request_ = 0;
   std::map<EndpointId, Load> loads_;
   std::map<std::pair<EndpointId, Address>, Time> avoid_until_;
   /// Back-off of a replica that lags too far for some reads.
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -147,11 +147,38 @@
 }
 
 bool EndpointPool::CanRun(const Job& job) {
-  if (!InTransaction(job.request.step)) return FindIdle(job) != nullptr;
+  if (!InTransaction(job.request.step))
+    return LeaseAllows(job, Now()) && FindIdle(job) != nullptr;
   HeldPtr held = FindPinned(job.key, job.request.run);
   return !held || !held->busy;
 }
 
+/// Returns whether a read that needs the primary may run here at `now`. What
+/// its route allows to be missing may have been committed after the lease.
+bool EndpointPool::LeaseAllows(const Job& job, Time now) {
+  const RunRequest& request = job.request;
+  bool read_at_primary = !request.writes && !request.read_only &&
+                         (job.fenced || request.step == RunStep::kNext);
+  if (!params_.renew_lease || !read_at_primary) return true;
+  Duration slack =
+      std::max(request.max_staleness - kStalenessMargin, Duration());
+  KeepLease(now);
+  return LeaseCovers(lease_, params_.endpoint, now, slack);
+}
+
+void EndpointPool::KeepLease(Time now) {
+  if (!params_.renew_lease || !bounds_.is_primary) return;
+  bool held = lease_.endpoint == params_.endpoint &&
+              lease_.until - now >= kLeaseRenewal;
+  if (!held) params_.renew_lease();
+}
+
+void EndpointPool::SetLease(const HeldLease& lease) {
+  lease_ = lease;
+  if (!floor_waiters_.empty()) ProbePrimary(Now());
+  Dispatch();
+}
+
 void EndpointPool::Dispatch() {
   while (!closed_ && running_ < bounds_.slots && queue_.size() > 0) {
     std::optional<QueueItem> item = queue_.Next(
@@ -170,6 +197,13 @@
              "the transaction's connection was lost");
       continue;
     }
+    bool reads = job->request.step == RunStep::kNext && !job->request.writes;
+    if (reads && !held->leased && !LeaseAllows(*job, Now())) {
+      Release(held);
+      Refuse(std::move(job), StatementStatus::kAborted,
+             "no lease on the primary");
+      continue;
+    }
     Start(held, std::move(job));
   }
   if (!closed_ && queue_.size() > 0 && running_ < bounds_.slots) Grow();
@@ -318,6 +352,7 @@
             on->pinned = on->job->key;
             on->run = on->job->request.run;
             on->wrote = false;
+            on->leased = self->LeaseAllows(*on->job, on->sent_at);
           }
         }
         if (left->empty()) self->SendStatement(on);
--- a/relay/src/endpoint_pool_floors.cc
+++ b/relay/src/endpoint_pool_floors.cc
@@ -66,11 +66,16 @@
   if (old && !bounds_.is_primary && !bounds_.leaving) AskFloor();
 }
 
-/// Records the position returned by a read-write transaction. Its success shows
-/// that the endpoint was the primary when the command was sent, so the position
-/// contains every commit acknowledged before that.
+/// Records the position returned by a read-write transaction. Its success, and
+/// the lease where one is needed, show that the endpoint was the primary when
+/// the command was sent, so the position contains every commit acknowledged
+/// before that.
 void EndpointPool::NoteProof(const HeldPtr& held, const CommandAnswer& answer) {
   if (!bounds_.is_primary || !answer.at) return;
+  bool leased =
+      !params_.renew_lease ||
+      LeaseCovers(lease_, params_.endpoint, held->sent_at, Duration());
+  if (!leased) return;
   proof_ = PositionSample{held->sent_at, *answer.at};
   history_.Add(*proof_);
   ServeFloorWaiters(Now(), false);
@@ -83,7 +88,15 @@
   bool fresh = proof_ && now - proof_->asked < kProofFresh;
   if (fresh) return ServeFloorWaiters(now, true);
   ScheduleTick();
-  if (probing_ || !bounds_.is_primary) return;
+  ProbePrimary(now);
+}
+
+/// Asks the primary for its position with an empty transaction.
+void EndpointPool::ProbePrimary(Time now) {
+  KeepLease(now);
+  bool leased = !params_.renew_lease ||
+                LeaseCovers(lease_, params_.endpoint, now, Duration());
+  if (probing_ || !bounds_.is_primary || !leased) return;
   Job any;
   HeldPtr held = FindIdle(any);
   if (!held) return Warm();
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -25,7 +25,9 @@
         member_(member) {
     ++member_->connections;
   }
-  ~LineSession() { --member_->connections; }
+  ~LineSession() {
+    if (member_ != nullptr) --member_->connections;
+  }
 
   LineMember* member() const { return member_; }
 
@@ -53,12 +55,13 @@
     group_ = nullptr;
   }
 
-  /// Without leave of the group, which is going away.
+  /// The group and its members are about to be destroyed.
   void Orphan() {
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
     group_ = nullptr;
+    member_ = nullptr;
   }
 
  private:
@@ -130,6 +133,7 @@
     if (verb == "STATUS") return Ready(Status());
     if (verb == "PAUSE") {
       member_->paused_below = std::stoull(name);
+      if (group_->on_pause) group_->on_pause();
       return Ready(Status());
     }
     if (verb == "RESUME") {
@@ -236,7 +240,7 @@
   bool plain_ = false;
   std::map<std::string, std::string> values_;
   std::map<std::string, std::string> prepared_;
-  std::vector<LineGroup::Commit> writes_;
+  std::vector<LineGroup::LogEntry> writes_;
 };
 
 LineGroup::LineGroup(asio::io_context* io, std::string name, size_t members)
@@ -302,11 +306,20 @@
   }
 }
 
-bool LineGroup::Append(const std::vector<Commit>& commits) {
+bool LineGroup::Commit(const std::string& item, const std::string& data) {
+  return Append({{item, data}});
+}
+
+bool LineGroup::Append(const std::vector<LogEntry>& commits) {
+  bool has_primary = std::any_of(
+      members_.begin(), members_.end(),
+      [](const std::unique_ptr<LineMember>& m) { return m->is_primary; });
+  if (!has_primary) return false;
   log_.insert(log_.end(), commits.begin(), commits.end());
   bool received = members_.size() == 1;
   for (const std::unique_ptr<LineMember>& member : members_) {
-    if (!member->is_primary && member->paused_below > term_) continue;
+    bool deaf = member->cut_off || member->paused_below > term_;
+    if (!member->is_primary && deaf) continue;
     member->received = log_.size();
     if (!member->lags) member->applied = log_.size();
     if (!member->is_primary) received = true;
@@ -317,7 +330,7 @@
 size_t LineGroup::CountOf(const std::string& data) const {
   return static_cast<size_t>(
       std::count_if(log_.begin(), log_.end(),
-                    [&data](const Commit& c) { return c.data == data; }));
+                    [&data](const LogEntry& entry) { return entry.data == data; }));
 }
 
 std::string LineGroup::Latest(const std::string& item, uint64_t applied) const {
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -26,6 +27,7 @@
   uint64_t received = 0;      ///< commits in its log
   uint64_t applied = 0;       ///< commits that its reads see
   uint64_t paused_below = 0;  ///< term; receives nothing below it
+  bool cut_off = false;       ///< receives no commits
   bool lags = false;          ///< receives, and does not apply
   uint64_t lag_ms = 0;        ///< what it says of itself
   bool silent = false;        ///< reads, and answers nothing
@@ -51,6 +53,9 @@
                         uint64_t sequence) const;
   /// As the platform does: the member leads the next term.
   void Promote(const EndpointId& id);
+  /// Commits one write at the primary, as a client of the group would. Returns
+  /// whether it is acknowledged.
+  bool Commit(const std::string& item, const std::string& data);
   /// Closes the listener and all connections of a member.
   void Kill(size_t i);
   /// Each statement takes this long.
@@ -59,23 +64,27 @@
   /// How many commits hold `data`.
   size_t CountOf(const std::string& data) const;
 
+  /// Runs after a member has been paused.
+  std::function<void()> on_pause;
+
  private:
   friend class LineSession;
-  struct Commit {
+  struct LogEntry {
     std::string item;
     std::string data;
   };
 
   void Accept(size_t i);
-  /// False: no replica receives, so that it may not be acknowledged.
-  bool Append(const std::vector<Commit>& commits);
+  /// False: there is no primary, or no replica receives, so that it may not be
+  /// acknowledged.
+  bool Append(const std::vector<LogEntry>& commits);
   std::string Latest(const std::string& item, uint64_t applied) const;
 
   boost::asio::io_context* io_;
   std::string name_;
   uint64_t term_ = 1;
   Duration work_ = Millis(1);
-  std::vector<Commit> log_;
+  std::vector<LogEntry> log_;
   std::vector<std::unique_ptr<LineMember>> members_;
   std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
   std::set<std::shared_ptr<LineSession>> sessions_;
