Confirm a primary before leasing it, and cover read-only transactions there

A control run that could not ask the primary, as all its connections were taken, replaced it for lag.

Change: whatever runs in a plain transaction needs the lease. Confirming a primary for a new leader is a cause of its own, which replaces nothing unless a relay reports trouble meanwhile; the same holds for lag. A connection refused as one too many is tried again until the answer is due.

--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -25,7 +25,8 @@
   Address peers;                             ///< where other relays connect
   uint32_t slots_carried = kSlotsPerHolder;  ///< see RelayRecord
   std::function<void(const DirectoryPush&)> on_push;
-  std::function<void(const PrimaryLeaseGrant&)> on_lease = [](const PrimaryLeaseGrant&) {};
+  std::function<void(const PrimaryLeaseGrant&)> on_lease =
+      [](const PrimaryLeaseGrant&) {};
   /// Returns the currently configured seeds; called before each connection
   /// attempt.
   std::function<std::vector<Address>()> seeds;
--- a/fleet/include/cardamomchute/fleet/messages.h
+++ b/fleet/include/cardamomchute/fleet/messages.h
@@ -63,8 +63,8 @@
   MSGPACK_DEFINE(number, groups)
 };
 
-/// Answers a PrimaryLeaseRequest: leases on `primaries`, for `valid` from when the
-/// request was sent. Groups whose primary is in doubt are left out.
+/// Answers a PrimaryLeaseRequest: leases on `primaries`, for `valid` from when
+/// the request was sent. Groups whose primary is in doubt are left out.
 struct PrimaryLeaseGrant {
   uint64_t number = 0;
   Duration valid;
@@ -87,7 +87,8 @@
 
 using FleetMessage =
     std::variant<RelayReport, TroubleReport, DirectoryPush, Farewell,
-                 PrimaryLeaseRequest, PrimaryLeaseGrant, GrantableRequest, GrantableAnswer>;
+                 PrimaryLeaseRequest, PrimaryLeaseGrant, GrantableRequest,
+                 GrantableAnswer>;
 
 }  // namespace cardamomchute
 
--- a/fleet/include/cardamomchute/fleet/primary_lease_server.h
+++ b/fleet/include/cardamomchute/fleet/primary_lease_server.h
@@ -51,8 +51,8 @@
 
   std::optional<GrantableLeases> Available(Time now);
   void AskLeader(Time now);
-  void Answer(const PrimaryLeaseRequest& request, const GrantableLeases& available,
-              const Reply& reply);
+  void Answer(const PrimaryLeaseRequest& request,
+              const GrantableLeases& available, const Reply& reply);
 
   PrimaryLeaseServerParams params_;
   LeaseLedger ledger_;         ///< kept while leading
--- a/fleet/include/cardamomchute/fleet/primary_replacement.h
+++ b/fleet/include/cardamomchute/fleet/primary_replacement.h
@@ -43,6 +43,7 @@
 /// Reason for checking a group's primary.
 enum class PrimaryReplacementCause : uint8_t {
   kReview,   ///< announcements contradict each other
+  kConfirm,  ///< a new control leader does not know whether it is the only one
   kTrouble,  ///< a relay cannot reach the primary
   kStalled,  ///< the primary responds, but no write completes
   kLeaving,  ///< the primary is about to shut down
@@ -77,7 +78,8 @@
   PromoteFunction promote;
   /// Notes that a request to promote is about to be sent.
   std::function<void()> ordered;
-  /// Notes whether the primary that `adopt` records is known to be the only one.
+  /// Notes whether the primary that `adopt` records is known to be the only
+  /// one.
   std::function<void(bool)> confirmed;
   /// Records the endpoint as primary in the given term.
   std::function<void(const EndpointId&, Term)> adopt;
@@ -91,6 +93,9 @@
 
   void Start();
   void Stop();
+  /// Takes a relay's report on the primary into account: a run that has
+  /// another reason may then replace it, too.
+  void Suspect(PrimaryReplacementCause cause);
 
  private:
   using Answers = std::vector<MemberStatus>;
@@ -99,11 +104,15 @@
               std::function<void(Answers)> done);
   void Ask(const EndpointRecord& endpoint, const EndpointCommand& command,
            Time until, std::function<void(MemberStatus)> done);
+  void AskLater(const EndpointRecord& endpoint, const EndpointCommand& command,
+                Time until, std::function<void(MemberStatus)> done);
   void SendOn(const std::shared_ptr<CommandConnection>& connection,
               const EndpointRecord& endpoint, const EndpointCommand& command,
               Time until, std::function<void(MemberStatus)> done);
   void QueryStatus();
   void OnStatusAnswers(const Answers& answers);
+  /// Whether the cause is a reason to give up a primary that does not answer.
+  bool SuspectsPrimary() const;
   bool ShouldKeep(const Answers& answers,
                   const std::optional<MemberStatus>& leader) const;
   void Demote(const EndpointRecord& primary, Term term);
@@ -121,6 +130,7 @@
   void AdoptChosen();
   void After(Duration pause, void (PrimaryReplacement::*next)());
   void Finish();
+  void FinishUnlessSuspected();
   const EndpointRecord* Find(const std::vector<EndpointRecord>& members,
                              const EndpointId& id) const;
 
@@ -129,6 +139,7 @@
   std::map<EndpointId, std::shared_ptr<CommandConnection>> connections_;
   Time started_;
   bool stopped_ = false;
+  bool suspected_again_ = false;  ///< a report came during the last query
   std::optional<PromoteRequest> order_;
   EndpointRecord chosen_;
   Time called_;
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -266,8 +266,8 @@
 void FleetController::SendToLeader(const FleetMessage& message) {
   const QuorumState& quorum = host_->quorum();
   auto leader = quorum.config.members.find(quorum.leader);
-  bool known = leader != quorum.config.members.end() &&
-               quorum.leader != quorum.self;
+  bool known =
+      leader != quorum.config.members.end() && quorum.leader != quorum.self;
   if (!known) return;
   host_->SendTo(leader->second.vm, FrameType::kControl, PackMessage(message));
 }
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -87,10 +87,11 @@
     if (can_follow)
       return StartSuccession(group, PrimaryReplacementCause::kLeaving);
   }
+  if (contradicted)
+    return StartSuccession(group, PrimaryReplacementCause::kReview);
   // A lease is granted only on a primary that this leader has confirmed.
   bool unconfirmed = !params_.fencing && !confirmed_.contains(group);
-  if (contradicted || unconfirmed)
-    StartSuccession(group, PrimaryReplacementCause::kReview);
+  if (unconfirmed) StartSuccession(group, PrimaryReplacementCause::kConfirm);
 }
 
 std::optional<GrantableLeases> FleetController::Grantable() const {
@@ -101,8 +102,8 @@
   leases.until = LeaseEnd(*confirmed_at);
   for (const GroupId& group : confirmed_) {
     auto primary = directory_.primaries.find(group);
-    bool certain = primary != directory_.primaries.end() &&
-                   !successions_.contains(group);
+    bool certain =
+        primary != directory_.primaries.end() && !successions_.contains(group);
     if (certain) leases.primaries[group] = primary->second.endpoint;
   }
   return leases;
@@ -116,16 +117,20 @@
 /// now or later, with the time until which no other leader sends requests.
 void FleetController::ConfirmAndRun(std::function<void(Time)> run) {
   Time asked = Now();
-  rounds_.Add({[asked, run = std::move(run)] { run(LeaseEnd(asked)); },
-               [] {}});
+  rounds_.Add({[asked, run = std::move(run)] { run(LeaseEnd(asked)); }, [] {}});
 }
 
 void FleetController::OnTrouble(const TroubleReport& report) {
   if (!host_->leading()) return SendToLeader(report);
   if (report.trouble == EndpointProblem::kLagging) return OnLagging(report);
   const EndpointRecord* primary = CurrentPrimary(directory_, report.group);
-  bool of_lead = primary != nullptr && primary->id == report.endpoint;
-  if (!of_lead || successions_.contains(report.group)) return;
+  bool of_primary = primary != nullptr && primary->id == report.endpoint;
+  if (!of_primary) return;
+  PrimaryReplacementCause cause = report.trouble == EndpointProblem::kStalled
+                                      ? PrimaryReplacementCause::kStalled
+                                      : PrimaryReplacementCause::kTrouble;
+  auto running = successions_.find(report.group);
+  if (running != successions_.end()) return running->second->Suspect(cause);
   bool just_set = Now() - primary_set_at_[report.group] < kReviewInterval;
   if (just_set) return;
   LogLine(LogLevel::kInfo, "lead_trouble")
@@ -133,9 +138,7 @@
       .Field("endpoint", report.endpoint)
       .Field("trouble", ToString(report.trouble))
       .Field("observer", report.observer);
-  StartSuccession(report.group, report.trouble == EndpointProblem::kStalled
-                                    ? PrimaryReplacementCause::kStalled
-                                    : PrimaryReplacementCause::kTrouble);
+  StartSuccession(report.group, cause);
 }
 
 /// Handles a replica that exceeds the staleness that reads allow. If all
@@ -217,9 +220,7 @@
     SetPrimary(group, endpoint, term);
   };
   params.done = [this, group, cause] {
-    // What is not confirmed yet is reviewed again soon.
-    bool review = cause == PrimaryReplacementCause::kReview &&
-                  (params_.fencing || confirmed_.contains(group));
+    bool review = cause == PrimaryReplacementCause::kReview;
     next_review_[group] =
         Now() + (review ? kContradictionInterval : kReviewInterval);
     successions_.erase(group);
--- a/fleet/src/primary_lease_server.cc
+++ b/fleet/src/primary_lease_server.cc
@@ -9,9 +9,9 @@
 constexpr Duration kMaxWait = Millis(200);
 
 bool Names(const GrantableLeases& leases, const std::vector<GroupId>& groups) {
-  return std::all_of(
-      groups.begin(), groups.end(),
-      [&leases](const GroupId& g) { return leases.primaries.contains(g); });
+  return std::all_of(groups.begin(), groups.end(), [&leases](const GroupId& g) {
+    return leases.primaries.contains(g);
+  });
 }
 
 }  // namespace
@@ -25,7 +25,8 @@
   return delegated_;
 }
 
-void PrimaryLeaseServer::OnRequest(const PrimaryLeaseRequest& request, Reply reply) {
+void PrimaryLeaseServer::OnRequest(const PrimaryLeaseRequest& request,
+                                   Reply reply) {
   Time now = Now();
   std::optional<GrantableLeases> available = Available(now);
   bool renew = !available || available->until - now < kLeaseRenewal;
@@ -54,8 +55,7 @@
   grant.valid = std::max(available.until - Now(), Duration());
   for (const GroupId& group : request.groups) {
     auto primary = available.primaries.find(group);
-    if (primary != available.primaries.end())
-      grant.primaries.insert(*primary);
+    if (primary != available.primaries.end()) grant.primaries.insert(*primary);
   }
   reply(grant);
 }
--- a/fleet/src/primary_replacement.cc
+++ b/fleet/src/primary_replacement.cc
@@ -9,11 +9,14 @@
 namespace cardamomchute {
 namespace {
 
+namespace asio = boost::asio;
+
 /// Timeout of a command that is sent to all endpoints.
 constexpr Duration kAskTimeout = Millis(500);
 /// Shorter, so that a primary that is down does not delay the others.
 constexpr Duration kAskPrimaryTimeout = Millis(200);
-/// Delay before a command that an endpoint refused as busy is repeated.
+/// Delay before a command that an endpoint refused as busy, or a connection
+/// that it refused as one too many, is repeated.
 constexpr Duration kBusyRetryDelay = Millis(15);
 /// Interval of status queries to the promoted endpoint.
 constexpr Duration kPollInterval = Millis(30);
@@ -35,6 +38,8 @@
   switch (cause) {
     case PrimaryReplacementCause::kReview:
       return "review";
+    case PrimaryReplacementCause::kConfirm:
+      return "confirm";
     case PrimaryReplacementCause::kTrouble:
       return "trouble";
     case PrimaryReplacementCause::kStalled:
@@ -68,6 +73,21 @@
   connections_.clear();
 }
 
+bool PrimaryReplacement::SuspectsPrimary() const {
+  return params_.cause != PrimaryReplacementCause::kLagging &&
+         params_.cause != PrimaryReplacementCause::kConfirm;
+}
+
+void PrimaryReplacement::FinishUnlessSuspected() {
+  return std::exchange(suspected_again_, false) ? QueryStatus() : Finish();
+}
+
+void PrimaryReplacement::Suspect(PrimaryReplacementCause cause) {
+  if (SuspectsPrimary()) return;
+  params_.cause = cause;
+  suspected_again_ = true;
+}
+
 void PrimaryReplacement::Finish() {
   if (stopped_) return;
   Stop();
@@ -126,18 +146,34 @@
   connections_[endpoint.id] = connection;
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
   Duration left = std::max(until - Now(), Millis(1));
-  connection->Open(endpoint.address, params_.group, endpoint.id, left,
-                   [self, connection, endpoint, command, until,
-                    done = std::move(done)](StatementStatus outcome) {
-                     if (self->stopped_) return;
-                     if (outcome == StatementStatus::kDone)
-                       return self->SendOn(connection, endpoint, command, until,
-                                           done);
-                     LogLine(LogLevel::kInfo, "succession_unreachable")
-                         .Field("endpoint", endpoint.id)
-                         .Field("outcome", ToString(outcome));
-                     done(MemberStatus{.endpoint = endpoint});
-                   });
+  connection->Open(
+      endpoint.address, params_.group, endpoint.id, left,
+      [self, connection, endpoint, command, until,
+       done = std::move(done)](StatementStatus outcome) {
+        if (self->stopped_) return;
+        if (outcome == StatementStatus::kDone)
+          return self->SendOn(connection, endpoint, command, until, done);
+        bool full = outcome == StatementStatus::kTooManyConnections;
+        if (full && Now() + kBusyRetryDelay < until)
+          return self->AskLater(endpoint, command, until, done);
+        LogLine(LogLevel::kInfo, "succession_unreachable")
+            .Field("endpoint", endpoint.id)
+            .Field("outcome", ToString(outcome));
+        done(MemberStatus{.endpoint = endpoint});
+      });
+}
+
+void PrimaryReplacement::AskLater(const EndpointRecord& endpoint,
+                                  const EndpointCommand& command, Time until,
+                                  std::function<void(MemberStatus)> done) {
+  std::shared_ptr<asio::steady_timer> pause =
+      std::make_shared<asio::steady_timer>(params_.executor);
+  pause->expires_after(std::chrono::milliseconds(kBusyRetryDelay.ms()));
+  std::shared_ptr<PrimaryReplacement> self = shared_from_this();
+  pause->async_wait([self, endpoint, command, until, done = std::move(done),
+                     pause](boost::system::error_code) {
+    if (!self->stopped_) self->Ask(endpoint, command, until, done);
+  });
 }
 
 void PrimaryReplacement::SendOn(
@@ -176,8 +212,8 @@
     if (answer.outcome == StatementStatus::kBusy &&
         Now() + kBusyRetryDelay < until) {
       // Nothing was executed: repeat on the same connection.
-      std::shared_ptr<boost::asio::steady_timer> pause =
-          std::make_shared<boost::asio::steady_timer>(self->params_.executor);
+      std::shared_ptr<asio::steady_timer> pause =
+          std::make_shared<asio::steady_timer>(self->params_.executor);
       pause->expires_after(std::chrono::milliseconds(kBusyRetryDelay.ms()));
       pause->async_wait([self, connection, endpoint, command, until, finish,
                          pause](boost::system::error_code) {
@@ -233,6 +269,9 @@
   bool reachable = leader && leader->endpoint.id == params_.primary;
   if (reachable && !demote_tried_)
     return Demote(leader->endpoint, HighestTerm(answers).Next());
+  bool begun = demote_tried_ || order_ || AnyPaused(answers);
+  if (!SuspectsPrimary() && !leader && !begun)
+    return After(kStatusInterval, &PrimaryReplacement::FinishUnlessSuspected);
   Decide(answers);
 }
 
@@ -243,8 +282,7 @@
   if (leader->endpoint.id != params_.primary) return true;
   // A request to promote may still take effect, and then without the commits
   // that resumed replicas have acknowledged.
-  bool may_be_ordered =
-      order_ || (AnyPaused(answers) && !params_.may_resume());
+  bool may_be_ordered = order_ || (AnyPaused(answers) && !params_.may_resume());
   if (may_be_ordered) return false;
   switch (params_.cause) {
     case PrimaryReplacementCause::kStalled:
@@ -278,7 +316,7 @@
   if (leader.endpoint.id == params_.primary) {
     params_.confirmed(ConfirmsPrimary(answers, params_.primary));
     params_.adopt(leader.endpoint.id, leader.term);
-    return After(kStatusInterval, &PrimaryReplacement::Finish);
+    return After(kStatusInterval, &PrimaryReplacement::FinishUnlessSuspected);
   }
   bool follows = std::any_of(answers.begin(), answers.end(),
                              [this](const MemberStatus& answer) {
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -25,6 +25,10 @@
       if (push.layout->version < version) went_back = true;
       version = push.layout->version;
     };
+    params.on_lease = [this](const PrimaryLeaseGrant& grant) {
+      for (const auto& [group, endpoint] : grant.primaries)
+        lease = ExtendLease(lease, endpoint, asked[grant.number], grant.valid);
+    };
     Address address = cluster->AddressOf(member);
     params.seeds = [address] { return std::vector<Address>{address}; };
     link = std::make_shared<ControlLink>(std::move(params));
@@ -32,12 +36,27 @@
   }
   ~Listener() { link->Stop(); }
 
+  /// Requests a lease on the primary of "g1", at most once in a while.
+  void RenewLease() {
+    Time now = Now();
+    if (!asked.empty() && now - asked.rbegin()->second < kLeaseRequestInterval)
+      return;
+    uint64_t number = asked.size() + 1;
+    asked[number] = now;
+    link->RequestLeases({number, {GroupId("g1")}});
+  }
+  bool HasLease(const std::string& endpoint) const {
+    return LeaseCovers(lease, EndpointId(endpoint), Now(), Duration());
+  }
+
   std::shared_ptr<ControlLink> link;
   Directory directory;
   uint64_t version = 0;
   bool went_back = false;
   size_t pushes = 0;
   size_t layouts = 0;  ///< that it was sent
+  HeldLease lease;
+  std::map<uint64_t, Time> asked;  ///< send times of lease requests
 };
 
 BOOST_AUTO_TEST_SUITE(steward)
@@ -296,6 +315,33 @@
   BOOST_TEST(s.cluster.orders.size() == 1u);
 }
 
+/// All connections of the primary are taken, so that control cannot ask it.
+BOOST_AUTO_TEST_CASE(a_primary_that_cannot_be_asked_is_not_replaced_for_lag) {
+  Succession s;
+  BOOST_REQUIRE((s.cluster.Put(BoundedLayoutText(2)) == CallOutcome::kDone));
+  s.group.member(0).full = true;
+  s.group.member(1).lag_ms = 4000;
+  s.group.member(2).lag_ms = 4000;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.listener->link->Report(GroupId("g1"), EndpointId("g1-1"),
+                           EndpointProblem::kLagging);
+  s.cluster.RunUntil([] { return false; }, Seconds(1));
+  BOOST_TEST(s.cluster.orders.empty());
+  BOOST_TEST(s.group.member(0).is_primary);
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_without_a_free_connection_is_asked_again) {
+  Succession s;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.group.member(0).full = true;
+  s.Complain(EndpointProblem::kSilent);
+  s.cluster.RunUntil([] { return false; }, Millis(60));
+  s.group.member(0).full = false;
+  s.cluster.RunUntil([] { return false; }, Millis(800));
+  BOOST_TEST(s.cluster.orders.empty());
+  BOOST_TEST(s.LeadIs("g1-0"));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_primary_hands_over) {
   Succession s;
   EndpointRecord leaving = s.group.Record(0, "a", ++s.sequence);
@@ -375,6 +421,74 @@
   BOOST_TEST(s.group.CountOf("late") == (acknowledged ? 1u : 0u));
 }
 
+/// Runs until another primary than the first is in use. Returns whether the
+/// relay never had a lease on the first one then.
+bool NoLeaseOnFormer(Succession* s) {
+  bool overlap = false;
+  bool replaced = s->cluster.RunUntil([&] {
+    bool other = s->LeadIs("g1-1") || s->LeadIs("g1-2");
+    overlap = overlap || (other && s->listener->HasLease("g1-0"));
+    s->listener->RenewLease();
+    return other &&
+           (s->listener->HasLease("g1-1") || s->listener->HasLease("g1-2"));
+  });
+  return replaced && !overlap;
+}
+
+BOOST_AUTO_TEST_CASE(no_relay_may_use_a_replaced_primary_that_goes_on) {
+  Succession s;
+  s.group.SetReplacedGoesOn();
+  auto leased = [&] {
+    s.listener->RenewLease();
+    return s.listener->HasLease("g1-0");
+  };
+  BOOST_REQUIRE(s.cluster.RunUntil(leased));
+  // The control members cannot reach it, the relay may.
+  s.group.member(0).silent = true;
+  s.cluster.RunUntil(
+      [&] {
+        s.listener->RenewLease();
+        return false;
+      },
+      Millis(500));
+  s.Complain(EndpointProblem::kSilent);
+  BOOST_TEST(NoLeaseOnFormer(&s));
+  BOOST_TEST(s.group.member(0).is_primary);
+}
+
+BOOST_AUTO_TEST_CASE(
+    leases_are_granted_by_all_members_until_they_lose_contact) {
+  Succession s;
+  size_t follower = (*s.cluster.Leader() + 1) % 3;
+  Listener relay(&s.cluster, "relay-b", follower);
+  auto leased = [&] {
+    relay.RenewLease();
+    return relay.HasLease("g1-0");
+  };
+  BOOST_REQUIRE(s.cluster.RunUntil(leased));
+  for (size_t i = 0; i < 3; ++i) {
+    if (i != follower) s.cluster.Stop(i);
+  }
+  Time lost = Now();
+  BOOST_TEST(s.cluster.RunUntil([&] { return !leased(); }));
+  s.cluster.RunUntil([&] { return leased(); }, Seconds(1));
+  BOOST_TEST(!relay.HasLease("g1-0"));
+  BOOST_TEST((relay.lease.until < lost + kPrimaryLease + Millis(1)));
+}
+
+/// The replicas are paused before a request to promote is sent: a leader that
+/// finds them paused cannot know whether the request of an earlier one will
+/// still take effect.
+BOOST_AUTO_TEST_CASE(a_replacement_that_an_earlier_leader_began_is_completed) {
+  Succession s;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.group.member(1).paused_below = 2;
+  s.group.member(2).paused_below = 2;
+  s.cluster.Stop(*s.cluster.Leader());
+  BOOST_TEST(s.cluster.RunUntil([&] { return !s.cluster.orders.empty(); }));
+  BOOST_TEST(s.cluster.RunUntil([&] { return !s.group.member(0).is_primary; }));
+}
+
 BOOST_AUTO_TEST_CASE(tokens_rise_with_each_reign) {
   Succession s;
   s.group.Kill(0);
--- a/policy/include/cardamomchute/policy/primary_lease.h
+++ b/policy/include/cardamomchute/policy/primary_lease.h
@@ -3,10 +3,10 @@
 ///
 /// The control leader grants leases to the other control members, and these to
 /// relays. A lease ends by itself, at most `kPrimaryLease` after the last time
-/// at which a quorum confirmed the leader. Each receiver counts from the time it
-/// sent its request, so that clocks are never compared. A new primary is used
-/// only after all leases on the former one have ended. Pure functions without
-/// I/O.
+/// at which a quorum confirmed the leader. Each receiver counts from the time
+/// it sent its request, so that clocks are never compared. A new primary is
+/// used only after all leases on the former one have ended. Pure functions
+/// without I/O.
 #ifndef CARDAMOMCHUTE_POLICY_PRIMARY_LEASE_H_
 #define CARDAMOMCHUTE_POLICY_PRIMARY_LEASE_H_
 
--- a/policy/include/cardamomchute/policy/primary_replacement.h
+++ b/policy/include/cardamomchute/policy/primary_replacement.h
@@ -2,8 +2,8 @@
 /// Pure functions without I/O.
 ///
 /// A primary acknowledges a commit only after a replica has received it. A
-/// reachable primary is demoted first: from then on nothing is acknowledged, and
-/// a successor is complete if it has received the whole of its log. For a
+/// reachable primary is demoted first: from then on nothing is acknowledged,
+/// and a successor is complete if it has received the whole of its log. For a
 /// primary that cannot be reached, all known replicas are paused (refuse to
 /// receive); then the one with the highest received position holds every commit
 /// that a known replica has acknowledged, regardless of network partitions.
@@ -70,8 +70,8 @@
 /// term, so that an order to promote may be outstanding.
 bool AnyPaused(const std::vector<MemberStatus>& all);
 
-/// Whether the answers show that `primary` is its group's only primary, and that
-/// no request to promote another endpoint is outstanding: the replicas are
+/// Whether the answers show that `primary` is its group's only primary, and
+/// that no request to promote another endpoint is outstanding: the replicas are
 /// paused before any such request.
 bool ConfirmsPrimary(const std::vector<MemberStatus>& all,
                      const EndpointId& primary);
--- a/policy/test/primary_replacement-test.cc
+++ b/policy/test/primary_replacement-test.cc
@@ -112,11 +112,11 @@
   MemberStatus a = Member("a", false, 1, 8, 0);
   MemberStatus b = Member("b", false, 1, 7, 0);
   // A paused replica could not catch up.
-  BOOST_TEST((NextReplacementStep({p, a, b}, former).step ==
-              ReplacementStep::kWait));
+  BOOST_TEST(
+      (NextReplacementStep({p, a, b}, former).step == ReplacementStep::kWait));
   a.received.position = Position(9);
-  BOOST_TEST((NextReplacementStep({p, a, b}, former).step ==
-              ReplacementStep::kPause));
+  BOOST_TEST(
+      (NextReplacementStep({p, a, b}, former).step == ReplacementStep::kPause));
   a.paused_below = b.paused_below = Term(2);
   BOOST_TEST(NextReplacementStep({p, a, b}, former).endpoint.value() == "a");
 }
@@ -130,12 +130,14 @@
   p.endpoint.leaving = true;
   BOOST_TEST(NextReplacementStep({p, a}, former).endpoint.value() == "a");
   p.endpoint.leaving = false;
-  BOOST_TEST(NextReplacementStep({Unreachable("p"), a}, former)
-                 .endpoint.value() == "a");
+  BOOST_TEST(
+      NextReplacementStep({Unreachable("p"), a}, former).endpoint.value() ==
+      "a");
 }
 
 BOOST_AUTO_TEST_CASE(a_pause_above_the_newest_term_may_belong_to_an_order) {
-  BOOST_TEST(AnyPaused({Member("p", true, 1, 9, 0), Member("a", false, 1, 9, 2)}));
+  BOOST_TEST(
+      AnyPaused({Member("p", true, 1, 9, 0), Member("a", false, 1, 9, 2)}));
   BOOST_TEST(
       !AnyPaused({Member("p", true, 2, 9, 0), Member("a", false, 2, 9, 2)}));
   BOOST_TEST(!AnyPaused({Member("p", true, 1, 9, 0), Unreachable("a")}));
--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -139,6 +139,8 @@
   void Dispatch();
   bool CanRun(const Job& job);
   bool LeaseAllows(const Job& job, Time now);
+  /// Whether a lease covers reads sent at `at`; true if none is needed.
+  bool Leased(Time at, Duration max_staleness) const;
   void KeepLease(Time now);
   HeldPtr FindPinned(const SessionKey& key, uint64_t run);
   HeldPtr FindIdle(const Job& job);
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -157,13 +157,17 @@
 /// its route allows to be missing may have been committed after the lease.
 bool EndpointPool::LeaseAllows(const Job& job, Time now) {
   const RunRequest& request = job.request;
-  bool read_at_primary = !request.writes && !request.read_only &&
-                         (job.fenced || request.step == RunStep::kNext);
-  if (!params_.renew_lease || !read_at_primary) return true;
-  Duration slack =
-      std::max(request.max_staleness - kStalenessMargin, Duration());
+  bool in_plain = request.step == RunStep::kNext && !request.read_only;
+  bool read_at_primary = !request.writes && (job.fenced || in_plain);
+  if (!read_at_primary) return true;
   KeepLease(now);
-  return LeaseCovers(lease_, params_.endpoint, now, slack);
+  return Leased(now, request.max_staleness);
+}
+
+bool EndpointPool::Leased(Time at, Duration max_staleness) const {
+  if (!params_.renew_lease) return true;
+  Duration slack = std::max(max_staleness - kStalenessMargin, Duration());
+  return LeaseCovers(lease_, params_.endpoint, at, slack);
 }
 
 void EndpointPool::KeepLease(Time now) {
@@ -319,44 +323,44 @@
   std::shared_ptr<bool> failed = std::make_shared<bool>(false);
   std::weak_ptr<EndpointPool> weak = weak_from_this();
   std::weak_ptr<Held> weak_held = held;
-  held->link->Send(
-      commands, [weak, weak_held, left, failed](const CommandAnswer& answer) {
-        std::shared_ptr<EndpointPool> self = weak.lock();
-        HeldPtr on = weak_held.lock();
-        if (!self || !on || *failed) return;
-        self->last_read_ = Now();
-        CommandKind kind = left->front().kind;
-        left->erase(left->begin());
-        bool begin =
-            kind == CommandKind::kBegin || kind == CommandKind::kBeginReadOnly;
-        if (answer.outcome != StatementStatus::kDone) {
-          *failed = true;
-          std::unique_ptr<Job> job = std::move(on->job);
-          --self->running_;
-          self->ReportAnswer(*job, answer.outcome);
-          if (begin) {
-            self->EndRun(on, answer.state);
-          } else {
-            self->Drop(on);
-          }
-          StatementStatus outcome =
-              job->request.step == RunStep::kNext ? StatementStatus::kAborted
-              : NotExecuted(answer.outcome)       ? answer.outcome
-                                            : StatementStatus::kUnreachable;
-          self->Refuse(std::move(job), outcome, answer.detail);
-          return self->Dispatch();
-        }
-        if (begin) {
-          if (kind == CommandKind::kBegin) self->NoteProof(on, answer);
-          if (on->job->request.step == RunStep::kFirst) {
-            on->pinned = on->job->key;
-            on->run = on->job->request.run;
-            on->wrote = false;
-            on->leased = self->LeaseAllows(*on->job, on->sent_at);
-          }
-        }
-        if (left->empty()) self->SendStatement(on);
-      });
+  held->link->Send(commands, [weak, weak_held, left,
+                              failed](const CommandAnswer& answer) {
+    std::shared_ptr<EndpointPool> self = weak.lock();
+    HeldPtr on = weak_held.lock();
+    if (!self || !on || *failed) return;
+    self->last_read_ = Now();
+    CommandKind kind = left->front().kind;
+    left->erase(left->begin());
+    bool begin =
+        kind == CommandKind::kBegin || kind == CommandKind::kBeginReadOnly;
+    if (answer.outcome != StatementStatus::kDone) {
+      *failed = true;
+      std::unique_ptr<Job> job = std::move(on->job);
+      --self->running_;
+      self->ReportAnswer(*job, answer.outcome);
+      if (begin) {
+        self->EndRun(on, answer.state);
+      } else {
+        self->Drop(on);
+      }
+      StatementStatus outcome =
+          job->request.step == RunStep::kNext ? StatementStatus::kAborted
+          : NotExecuted(answer.outcome)       ? answer.outcome
+                                              : StatementStatus::kUnreachable;
+      self->Refuse(std::move(job), outcome, answer.detail);
+      return self->Dispatch();
+    }
+    if (begin) {
+      if (kind == CommandKind::kBegin) self->NoteProof(on, answer);
+      if (on->job->request.step == RunStep::kFirst) {
+        on->pinned = on->job->key;
+        on->run = on->job->request.run;
+        on->wrote = false;
+        on->leased = self->Leased(on->sent_at, on->job->request.max_staleness);
+      }
+    }
+    if (left->empty()) self->SendStatement(on);
+  });
 }
 
 void EndpointPool::SendStatement(const HeldPtr& held) {
--- a/relay/src/endpoint_pool_floors.cc
+++ b/relay/src/endpoint_pool_floors.cc
@@ -72,9 +72,8 @@
 /// before that.
 void EndpointPool::NoteProof(const HeldPtr& held, const CommandAnswer& answer) {
   if (!bounds_.is_primary || !answer.at) return;
-  bool leased =
-      !params_.renew_lease ||
-      LeaseCovers(lease_, params_.endpoint, held->sent_at, Duration());
+  bool leased = !params_.renew_lease || LeaseCovers(lease_, params_.endpoint,
+                                                    held->sent_at, Duration());
   if (!leased) return;
   proof_ = PositionSample{held->sent_at, *answer.at};
   history_.Add(*proof_);
@@ -94,9 +93,8 @@
 /// Asks the primary for its position with an empty transaction.
 void EndpointPool::ProbePrimary(Time now) {
   KeepLease(now);
-  bool leased = !params_.renew_lease ||
-                LeaseCovers(lease_, params_.endpoint, now, Duration());
-  if (probing_ || !bounds_.is_primary || !leased) return;
+  bool may_probe = bounds_.is_primary && Leased(now, Duration());
+  if (probing_ || !may_probe) return;
   Job any;
   HeldPtr held = FindIdle(any);
   if (!held) return Warm();
--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -10,7 +10,7 @@
 
 /// A pool to one member of a stand-in group.
 struct Fixture {
-  explicit Fixture(size_t member = 0, size_t members = 3)
+  explicit Fixture(size_t member = 0, size_t members = 3, bool leases = false)
       : group(&io, "g1", members) {
     EndpointPoolParams params;
     params.executor = io.get_executor();
@@ -26,6 +26,7 @@
           ++floors_asked;
           done(floor);
         };
+    if (leases) params.renew_lease = [this] { ++leases_asked; };
     pool = std::make_shared<EndpointPool>(std::move(params));
     bounds.slots = 2;
     bounds.connections = 4;
@@ -79,6 +80,7 @@
   std::vector<EndpointProblem> troubles;
   std::optional<FloorAnswer> floor;
   int floors_asked = 0;
+  int leases_asked = 0;
   int next_id = 0;
 };
 
@@ -107,6 +109,79 @@
   BOOST_TEST(!f.troubles.empty());
 }
 
+HeldLease LeaseFor(Fixture& f, Duration valid) {
+  return ExtendLease(HeldLease(), f.group.member(0).id, Now(), valid);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_at_the_primary_waits_for_a_lease) {
+  Fixture f(0, 3, true);
+  f.Submit(f.Request(RunStep::kSingle, "READ k"));
+  f.RunUntil([&] { return f.leases_asked > 2; });
+  BOOST_TEST(f.answers.empty());
+  BOOST_TEST(f.group.member(0).runs.empty());
+  f.pool->SetLease(LeaseFor(f, Seconds(5)));
+  BOOST_TEST(f.RunUntil([&] { return !f.answers.empty(); }));
+  BOOST_TEST((f.answers.at(0).outcome == StatementStatus::kDone));
+}
+
+BOOST_AUTO_TEST_CASE(a_replaced_primary_that_goes_on_is_not_read) {
+  Fixture f(0, 3, true);
+  f.group.SetReplacedGoesOn();
+  f.pool->SetLease(LeaseFor(f, Millis(300)));
+  BOOST_TEST((f.Run(f.Request(RunStep::kSingle, "READ k")).outcome ==
+              StatementStatus::kDone));
+  BOOST_TEST((f.Run(f.Request(RunStep::kFirst, "WRITE k v")).outcome ==
+              StatementStatus::kDone));
+  f.RunUntil([until = Now() + Millis(310)] { return Now() > until; });
+  f.group.Promote(f.group.member(1).id);
+  size_t before = f.group.member(0).runs.size();
+  RunRequest read = f.Request(RunStep::kSingle, "READ k");
+  read.hold = Millis(200);
+  RunAnswer answer = f.Run(std::move(read), "b");
+  BOOST_TEST((answer.outcome == StatementStatus::kBusy));
+  // No position of it counts for reads elsewhere.
+  std::optional<FloorAnswer> floor;
+  f.pool->AnswerFloor([&floor](const FloorAnswer& a) { floor = a; });
+  BOOST_TEST(f.RunUntil([&] { return floor.has_value(); }));
+  BOOST_TEST((!floor->at || floor->age >= Millis(200)));
+  BOOST_TEST(f.group.member(0).runs.size() == before);
+}
+
+/// Without a position to compare, it would have to run on the primary.
+BOOST_AUTO_TEST_CASE(a_read_only_transaction_at_the_primary_waits_for_a_lease) {
+  Fixture f(0, 3, true);
+  RunRequest read = f.Request(RunStep::kFirst, "READ k");
+  read.read_only = true;
+  read.at_primary = false;
+  read.max_staleness = Millis(1500);
+  read.hold = Millis(200);
+  BOOST_TEST((f.Run(std::move(read)).outcome == StatementStatus::kBusy));
+  BOOST_TEST(f.group.member(0).runs.empty());
+}
+
+/// A transaction that began with a write had no need of a lease.
+BOOST_AUTO_TEST_CASE(a_read_in_a_transaction_without_a_lease_aborts_it) {
+  Fixture f(0, 3, true);
+  BOOST_TEST(f.Run(f.Request(RunStep::kFirst, "WRITE k v")).transaction);
+  RunAnswer read = f.Run(f.Request(RunStep::kNext, "READ k"));
+  BOOST_TEST((read.outcome == StatementStatus::kAborted));
+  BOOST_TEST(f.RunUntil([&] { return f.pool->Idle(); }));
+  f.pool->SetLease(LeaseFor(f, Seconds(5)));
+  BOOST_TEST(f.Run(f.Request(RunStep::kFirst, "READ k")).transaction);
+  BOOST_TEST((f.Run(f.Request(RunStep::kNext, "READ k")).outcome ==
+              StatementStatus::kDone));
+}
+
+/// What a route allows to be missing may have been committed after the lease.
+BOOST_AUTO_TEST_CASE(a_read_that_may_be_stale_uses_a_lease_that_has_ended) {
+  Fixture f(0, 3, true);
+  f.pool->SetLease(LeaseFor(f, Millis(1)));
+  f.RunUntil([until = Now() + Millis(20)] { return Now() > until; });
+  RunRequest read = f.Request(RunStep::kFirst, "READ k");
+  read.max_staleness = Millis(1500);
+  BOOST_TEST((f.Run(std::move(read)).outcome == StatementStatus::kDone));
+}
+
 BOOST_AUTO_TEST_CASE(a_first_statement_after_a_refused_begin_does_not_run) {
   Fixture f;
   f.group.Promote(f.group.member(1).id);
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -75,6 +75,7 @@
       bool wrong =
           name != group_->name_ || (!id.empty() && id != member_->id.value());
       if (wrong) return Send("ERR MISROUTED -\r\n", true);
+      if (member_->full) return Send("ERR TOOMANY -\r\n", true);
       return Ready("");
     }
     std::string id;
@@ -203,7 +204,7 @@
   std::string Status() const {
     std::ostringstream row;
     row << "ROW " << (member_->is_primary ? "primary" : "replica") << " "
-        << group_->term_ << " " << group_->term_ << "." << member_->received
+        << member_->term << " " << member_->term << "." << member_->received
         << " " << member_->paused_below << " " << member_->lag_ms
         << " 0 1\r\nDONE -\r\n";
     return row.str();
@@ -215,7 +216,7 @@
   }
 
   void Ready(const std::string& before) {
-    Send(before + "READY " + state_ + " " + std::to_string(group_->term_) +
+    Send(before + "READY " + state_ + " " + std::to_string(member_->term) +
              "." + std::to_string(member_->applied) + "\r\n",
          false);
   }
@@ -291,7 +292,10 @@
 void LineGroup::Promote(const EndpointId& id) {
   ++term_;
   for (const std::unique_ptr<LineMember>& member : members_) {
+    bool goes_on = replaced_goes_on_ && member->is_primary && member->id != id;
+    if (goes_on) continue;
     member->is_primary = member->id == id;
+    member->term = term_;
     member->paused_below = 0;
     if (member->is_primary) log_.resize(member->received);
   }
@@ -328,9 +332,9 @@
 }
 
 size_t LineGroup::CountOf(const std::string& data) const {
-  return static_cast<size_t>(
-      std::count_if(log_.begin(), log_.end(),
-                    [&data](const LogEntry& entry) { return entry.data == data; }));
+  return static_cast<size_t>(std::count_if(
+      log_.begin(), log_.end(),
+      [&data](const LogEntry& entry) { return entry.data == data; }));
 }
 
 std::string LineGroup::Latest(const std::string& item, uint64_t applied) const {
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -24,6 +24,7 @@
   EndpointId id;
   Address address;
   bool is_primary = false;
+  uint64_t term = 1;
   uint64_t received = 0;      ///< commits in its log
   uint64_t applied = 0;       ///< commits that its reads see
   uint64_t paused_below = 0;  ///< term; receives nothing below it
@@ -33,6 +34,7 @@
   bool silent = false;        ///< reads, and answers nothing
   bool mute_commits = false;  ///< runs commits and writes, loses the answers
   int lose_answers = 0;       ///< so many connections hang after a statement
+  bool full = false;          ///< refuses connections as too many
   int refuse_busy = 0;        ///< refuses so many statements as busy
   int skip_answers = 0;       ///< leaves so many out, and answers what follows
   std::vector<std::string> runs;  ///< "id text", as received from callers
@@ -53,6 +55,8 @@
                         uint64_t sequence) const;
   /// As the platform does: the member leads the next term.
   void Promote(const EndpointId& id);
+  /// A replaced primary goes on as before until it is demoted.
+  void SetReplacedGoesOn() { replaced_goes_on_ = true; }
   /// Commits one write at the primary, as a client of the group would. Returns
   /// whether it is acknowledged.
   bool Commit(const std::string& item, const std::string& data);
@@ -83,6 +87,7 @@
   boost::asio::io_context* io_;
   std::string name_;
   uint64_t term_ = 1;
+  bool replaced_goes_on_ = false;
   Duration work_ = Millis(1);
   std::vector<LogEntry> log_;
   std::vector<std::unique_ptr<LineMember>> members_;
