Keep directory and layout pushes small on narrow links

After all power was lost, each relay took 0.3 s from its link to the first layout: every connecting relay was announced to all others in plain messages, each message made every relay assign holders anew (relays x endpoints), and the leader parsed each of some 50 versions of the log, 2.3 ms each.

Change: relays get at most two layouts a second, as differences where they hold the last one; long messages to relays are compressed (zlib); relays that connect together get one message; holders are assigned at most every 150 ms and without copies; the control leader parses only the layout in force. AssignHolders has a file of its own.

--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -24,6 +24,7 @@
   Zone zone;
   Address peers;                             ///< where other relays connect
   uint32_t slots_carried = kSlotsPerHolder;  ///< see RelayRecord
+  /// Gets each push, with the whole layout if it holds one.
   std::function<void(const DirectoryPush&)> on_push;
   std::function<void(const PrimaryLeaseGrant&)> on_lease =
       [](const PrimaryLeaseGrant&) {};
@@ -52,6 +53,7 @@
   void Dial();
   void OnDialled(const Address& address, std::shared_ptr<Link> link);
   void OnFrame(std::string_view body);
+  void OnPush(DirectoryPush push);
   void Lose(const std::string& reason);
   void SendReport();
 
@@ -64,6 +66,7 @@
   bool stopped_ = false;
   bool draining_ = false;
   uint64_t layout_version_ = 0;
+  StoredLayout layout_;  ///< last one received
   uint64_t run_ms_ = 0;
   uint64_t sequence_ = 0;
   Time next_report_;
--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -90,6 +90,11 @@
     QuorumTerm term;
     LayoutDone done;
   };
+  struct ConnectedRelay {
+    LinkPtr link;
+    uint64_t layout_version = 0;  ///< last one that was sent to it
+    bool greeted = false;         ///< has got the directory
+  };
   /// A relay that connected while no leader was known.
   struct WaitingRelay {
     LinkPtr link;
@@ -111,8 +116,9 @@
   void SendToLeader(const FleetMessage& message);
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
-  void SendWhole(const LinkPtr& link, uint64_t known_version);
+  void GreetRelays();
   void Flush();
+  void PushLayout(Time now);
   void SendFarewells();
   void LoadDirectory();
   void SaveDirectory(Time now);
@@ -122,7 +128,9 @@
   void ReviewPrimaries(Time now);
   void ReviewPrimary(const GroupId& group, Time now);
   void SetPrimary(const GroupId& group, const EndpointId& endpoint, Term term);
-  void StartSuccession(const GroupId& group, PrimaryReplacementCause cause);
+  /// `lag_bound`: for kLagging, see PrimaryReplacementParams.
+  void StartSuccession(const GroupId& group, PrimaryReplacementCause cause,
+                       Duration lag_bound = Duration());
   std::optional<GrantableLeases> Grantable() const;
   /// Time until which relays may use the group's former primary.
   Time LeasesEndOf(const GroupId& group) const;
@@ -135,11 +143,17 @@
   LeadershipBarrier rounds_;
   PrimaryLeaseServer leases_;
   StoredLayout layout_;
-  std::optional<Layout> parsed_;
+  /// Returns the layout in force, parsed when it is first needed: replaying
+  /// the log applies many. Null if there is none.
+  const Layout* ParsedLayout() const;
+
+  mutable std::optional<Layout> parsed_;
   bool layout_due_ = false;  ///< not yet pushed to relays
+  StoredLayout pushed_;      ///< last layout that was pushed to relays
+  Time next_layout_push_;
   Directory directory_;
   std::map<LogIndex, PendingPut> pending_;
-  std::map<Link*, LinkPtr> relays_;
+  std::map<Link*, ConnectedRelay> relays_;
   std::map<Link*, WaitingRelay> waiting_;
   DirectoryDelta to_relays_;
   DirectoryDelta to_members_;
--- a/fleet/include/cardamomchute/fleet/messages.h
+++ b/fleet/include/cardamomchute/fleet/messages.h
@@ -12,6 +12,7 @@
 
 #include "cardamomchute/policy/directory.h"
 #include "cardamomchute/policy/quorum_pack.h"
+#include "cardamomchute/policy/text_delta.h"
 #include "cardamomchute/relay/endpoint_pool.h"
 
 namespace cardamomchute {
@@ -41,12 +42,23 @@
   MSGPACK_DEFINE(version, text)
 };
 
+/// An accepted layout as a difference from an earlier one. Relays have narrow
+/// links, and versions may follow each other quickly.
+struct LayoutChange {
+  uint64_t from_version = 0;
+  uint64_t version = 0;
+  TextDelta text;
+  MSGPACK_DEFINE(from_version, version, text)
+};
+
 /// A change of the directory, for relays and other control members.
 struct DirectoryPush {
   DirectoryDelta delta;
   std::optional<StoredLayout> layout;
   std::vector<Address> members;  ///< addresses of the control members
-  MSGPACK_DEFINE(delta, layout, members)
+  /// Instead of `layout`, for relays that hold its `from_version`.
+  std::optional<LayoutChange> layout_change;
+  MSGPACK_DEFINE(delta, layout, members, layout_change)
 };
 
 /// The sender has lost contact with the quorum; the relay must connect to
@@ -85,10 +97,22 @@
   MSGPACK_DEFINE(grant)
 };
 
+/// A packed FleetMessage of another kind, compressed.
+struct CompressedMessage {
+  std::string bytes;
+  MSGPACK_DEFINE(bytes)
+};
+
 using FleetMessage =
     std::variant<RelayReport, TroubleReport, DirectoryPush, Farewell,
                  PrimaryLeaseRequest, PrimaryLeaseGrant, GrantableRequest,
-                 GrantableAnswer>;
+                 GrantableAnswer, CompressedMessage>;
+
+/// Packs a message for a relay, whose link is narrow: compressed if it is long.
+std::string PackForRelay(const FleetMessage& message);
+
+/// Unpacks a message that may be compressed.
+Result<FleetMessage> UnpackFleetMessage(std::string_view body);
 
 }  // namespace cardamomchute
 
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -105,12 +105,10 @@
 }
 
 void ControlLink::OnFrame(std::string_view body) {
-  Result<FleetMessage> message = UnpackVariant<FleetMessage>(body);
+  Result<FleetMessage> message = UnpackFleetMessage(body);
   if (!message) return Lose(ToString(message.error()));
-  if (const auto* push = std::get_if<DirectoryPush>(&message.value())) {
-    if (!push->members.empty()) members_ = push->members;
-    return params_.on_push(*push);
-  }
+  if (auto* push = std::get_if<DirectoryPush>(&message.value()))
+    return OnPush(std::move(*push));
   if (const auto* grant = std::get_if<PrimaryLeaseGrant>(&message.value()))
     return params_.on_lease(*grant);
   if (const auto* farewell = std::get_if<Farewell>(&message.value())) {
@@ -119,6 +117,21 @@
   }
 }
 
+void ControlLink::OnPush(DirectoryPush push) {
+  if (!push.members.empty()) members_ = push.members;
+  if (push.layout_change) {
+    const LayoutChange& change = *push.layout_change;
+    std::optional<std::string> text;
+    if (change.from_version == layout_.version)
+      text = ApplyTextDelta(layout_.text, change.text);
+    // A new link starts with the whole layout.
+    if (!text) return Lose("a layout change does not fit the layout held");
+    push.layout = StoredLayout{change.version, std::move(*text)};
+  }
+  if (push.layout) layout_ = *push.layout;
+  params_.on_push(push);
+}
+
 void ControlLink::Lose(const std::string& reason) {
   if (!link_) return;
   LogLine(LogLevel::kInfo, "control_link_lost").Field("reason", reason);
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -13,6 +13,9 @@
 constexpr Duration kTick = Millis(40);
 /// Directory changes are batched for this long before they are pushed.
 constexpr Duration kFlushInterval = Millis(40);
+/// Minimum interval between two layouts pushed to relays. Versions in between
+/// are skipped, as only the newest is in force.
+constexpr Duration kLayoutPushInterval = Millis(500);
 /// A silent voter is removed this long after a newer member has joined.
 constexpr Duration kReplaceAfter = Seconds(6);
 /// Shorter than the default: without a leader, relays receive no updates.
@@ -129,9 +132,7 @@
     if (newer) layout_ = std::move(stored.value());
   }
   if (newer) {
-    Result<Layout> parsed = params_.parse_layout(layout_.text);
-    if (!parsed) return host_->Fail(parsed.error());
-    parsed_ = std::move(parsed.value());
+    parsed_.reset();
     LogLine(LogLevel::kInfo, "layout_applied")
         .Field("version", layout_.version)
         .Field("index", entry.index)
@@ -154,11 +155,20 @@
   if (!stored) return host_->Fail(stored.error());
   if (stored.value().version <= layout_.version) return;
   layout_ = std::move(stored.value());
-  if (layout_.version == 0) return;
+  parsed_.reset();
+  layout_due_ = layout_.version > 0;
+}
+
+const Layout* FleetController::ParsedLayout() const {
+  if (layout_.version == 0) return nullptr;
+  if (parsed_) return &*parsed_;
   Result<Layout> parsed = params_.parse_layout(layout_.text);
-  if (!parsed) return host_->Fail(parsed.error());
+  if (!parsed) {
+    host_->Fail(parsed.error());
+    return nullptr;
+  }
   parsed_ = std::move(parsed.value());
-  layout_due_ = true;
+  return &*parsed_;
 }
 
 LayoutResult FleetController::Elsewhere() const {
@@ -280,11 +290,12 @@
                          WaitingRelay{link, report, Now() + kWaitForLeader});
     return;
   }
-  relays_[link.get()] = link;
+  ConnectedRelay& relay = relays_[link.get()];
+  relay.link = link;
   DirectoryDelta delta;
   delta.relays.push_back(report.relay);
   TakeDelta(delta, false);
-  if (first) SendWhole(link, report.layout_version);
+  if (first) relay.layout_version = report.layout_version;
 }
 
 /// Serves relays that connected while no leader was known, or sends them to
@@ -342,40 +353,80 @@
   return push;
 }
 
-void FleetController::SendWhole(const LinkPtr& link, uint64_t known_version) {
-  DirectoryPush push = BarePush();
-  push.delta = FullDelta(directory_);
-  // A link accepts only a short frame first.
-  link->Send(FrameType::kControl, PackMessage(BarePush()));
-  if (layout_.version > known_version) push.layout = layout_;
-  link->Send(FrameType::kControl, PackMessage(push));
+/// Sends the whole directory to relays that have connected since the last call:
+/// after a restart many do, and one message serves them all.
+void FleetController::GreetRelays() {
+  std::string bare;
+  std::map<bool, std::string> messages;  // by whether the layout is included
+  for (auto& [key, relay] : relays_) {
+    if (std::exchange(relay.greeted, true)) continue;
+    bool with_layout = layout_.version > relay.layout_version;
+    std::string& message = messages[with_layout];
+    if (message.empty()) {
+      DirectoryPush push = BarePush();
+      push.delta = FullDelta(directory_);
+      if (with_layout) push.layout = layout_;
+      message = PackForRelay(push);
+      bare = PackMessage(BarePush());
+    }
+    // A link accepts only a short frame first.
+    relay.link->Send(FrameType::kControl, bare);
+    relay.link->Send(FrameType::kControl, message);
+    if (with_layout) relay.layout_version = layout_.version;
+  }
 }
 
-/// Pushes queued changes. Only the newest of several layouts is sent: replaying
-/// the log applies many, and relays may have little bandwidth.
+/// Pushes queued changes.
 void FleetController::Flush() {
-  bool due = layout_due_ || !to_relays_.Empty();
-  if (due && !relays_.empty()) {
+  if (!to_relays_.Empty() && !relays_.empty()) {
     DirectoryPush push = BarePush();
     push.delta = to_relays_;
-    if (std::exchange(layout_due_, false)) push.layout = layout_;
-    std::string message = PackMessage(push);
-    for (const auto& [key, relay] : relays_)
-      relay->Send(FrameType::kControl, message);
+    std::string message = PackForRelay(push);
+    for (const auto& [key, relay] : relays_) {
+      // Others get the whole directory below.
+      if (relay.greeted) relay.link->Send(FrameType::kControl, message);
+    }
   }
   to_relays_ = DirectoryDelta();
+  GreetRelays();
+  PushLayout(Now());
   if (to_members_.Empty()) return;
   DirectoryPush push;
   push.delta = std::exchange(to_members_, DirectoryDelta());
   host_->SendToAll(FrameType::kControl, PackMessage(push));
 }
 
+/// Pushes the newest of several layouts: replaying the log applies many, and
+/// relays may have little bandwidth.
+void FleetController::PushLayout(Time now) {
+  if (!layout_due_ || now < next_layout_push_) return;
+  layout_due_ = false;
+  next_layout_push_ = now + kLayoutPushInterval;
+  DirectoryPush whole = BarePush();
+  whole.layout = layout_;
+  DirectoryPush change = BarePush();
+  change.layout_change =
+      LayoutChange{pushed_.version, layout_.version,
+                   MakeTextDelta(pushed_.text, layout_.text)};
+  std::string whole_message;
+  std::string change_message = PackForRelay(change);
+  for (auto& [key, relay] : relays_) {
+    if (relay.layout_version >= layout_.version) continue;
+    bool has_base = relay.layout_version == pushed_.version;
+    if (!has_base && whole_message.empty()) whole_message = PackForRelay(whole);
+    relay.link->Send(FrameType::kControl,
+                     has_base ? change_message : whole_message);
+    relay.layout_version = layout_.version;
+  }
+  pushed_ = layout_;
+}
+
 /// Sends all relays to another member, since this one no longer learns what the
 /// quorum accepts.
 void FleetController::SendFarewells() {
   std::string message = PackMessage(Farewell{BarePush().members});
   for (const auto& [key, relay] : relays_)
-    relay->Send(FrameType::kControl, message);
+    relay.link->Send(FrameType::kControl, message);
   relays_.clear();
 }
 
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -31,8 +31,9 @@
 
 std::set<GroupId> FleetController::Groups() const {
   std::set<GroupId> groups;
-  if (!parsed_) return groups;
-  for (const auto& [group, bounds] : parsed_->groups) groups.insert(group);
+  const Layout* layout = ParsedLayout();
+  if (layout == nullptr) return groups;
+  for (const auto& [group, bounds] : layout->groups) groups.insert(group);
   return groups;
 }
 
@@ -147,12 +148,13 @@
 /// nothing left to apply.
 void FleetController::OnLagging(const TroubleReport& report) {
   // A new control leader may not have applied its log yet.
-  if (!parsed_) return;
-  std::optional<Duration> bound = StrictestStaleness(*parsed_, report.group);
+  const Layout* layout = ParsedLayout();
+  if (layout == nullptr) return;
+  std::optional<Duration> bound = StrictestStaleness(*layout, report.group);
   if (!bound || successions_.contains(report.group)) return;
   if (Now() < next_lag_look_[report.group]) return;
   next_lag_look_[report.group] = Now() + kLagCheckInterval;
-  StartSuccession(report.group, PrimaryReplacementCause::kLagging);
+  StartSuccession(report.group, PrimaryReplacementCause::kLagging, *bound);
 }
 
 void FleetController::SetPrimary(const GroupId& group,
@@ -184,7 +186,8 @@
 }
 
 void FleetController::StartSuccession(const GroupId& group,
-                                      PrimaryReplacementCause cause) {
+                                      PrimaryReplacementCause cause,
+                                      Duration lag_bound) {
   PrimaryReplacementParams params;
   params.executor = params_.io->get_executor();
   params.protocol = &params_.endpoint_protocol;
@@ -193,8 +196,7 @@
   if (primary != directory_.primaries.end())
     params.primary = primary->second.endpoint;
   params.cause = cause;
-  if (cause == PrimaryReplacementCause::kLagging)
-    params.lag_bound = *StrictestStaleness(*parsed_, group);
+  params.lag_bound = lag_bound;
   params.holder = params_.name;
   params.members = [this, group] { return CountedMembers(group); };
   params.next_token = [this] {
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -22,6 +22,8 @@
       Merge(directory, push.delta, Now());
       if (!push.layout) return;
       ++layouts;
+      if (push.layout_change) ++changes;
+      layout_text = push.layout->text;
       if (push.layout->version < version) went_back = true;
       version = push.layout->version;
     };
@@ -55,6 +57,8 @@
   bool went_back = false;
   size_t pushes = 0;
   size_t layouts = 0;  ///< that it was sent
+  size_t changes = 0;  ///< of these, as differences
+  std::string layout_text;
   HeldLease lease;
   std::map<uint64_t, Time> asked;  ///< send times of lease requests
 };
@@ -139,6 +143,35 @@
   }
 }
 
+/// A front's link carries little: of many versions in quick succession each
+/// relay gets few, and those as differences.
+BOOST_AUTO_TEST_CASE(a_storm_of_layouts_costs_relays_few_bytes) {
+  FleetControllerCluster cluster(3);
+  Listener relay(&cluster, "relay-a", 0);
+  std::string routes;
+  for (int i = 0; i < 200; ++i) {
+    routes += ",{\"name\":\"r" + std::to_string(i) + "\",\"host\":\"db" +
+              std::to_string(i) +
+              "\",\"pathPrefix\":\"/\",\"type\":\"primary\",\"timeoutMs\":"
+              "800,\"prio\":0,\"service\":\"g1\"}";
+  }
+  auto text = [&routes](uint64_t version) {
+    std::string layout = LayoutText(version, "db");
+    return layout.insert(layout.find("],\"services"), routes);
+  };
+  BOOST_REQUIRE((cluster.Put(text(1)) == CallOutcome::kDone));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return relay.version == 1; }));
+  size_t before = relay.layouts;
+  size_t changes_before = relay.changes;
+  constexpr uint64_t kVersions = 25;
+  for (uint64_t version = 2; version <= kVersions; ++version)
+    BOOST_REQUIRE((cluster.Put(text(version)) == CallOutcome::kDone));
+  BOOST_TEST(cluster.RunUntil([&] { return relay.version == kVersions; }));
+  BOOST_TEST(relay.layouts - before < kVersions / 2);
+  BOOST_TEST(relay.changes - changes_before == relay.layouts - before);
+  BOOST_TEST(relay.layout_text == text(kVersions));
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_disk_among_a_full_restart_loses_nothing) {
   FleetControllerCluster cluster(5);
   BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -56,18 +56,6 @@
                      });
 }
 
-/// Rendezvous hash (FNV-1a with a final mix), equal on every VM.
-uint64_t Weight(const std::string& endpoint, const std::string& vm) {
-  uint64_t hash = 1469598103934665603ULL;
-  for (const std::string* part : {&endpoint, &vm}) {
-    for (unsigned char c : *part) hash = (hash ^ c) * 1099511628211ULL;
-    hash = (hash ^ '/') * 1099511628211ULL;
-  }
-  hash ^= hash >> 33;
-  hash *= 0xff51afd7ed558ccdULL;
-  return hash ^ (hash >> 33);
-}
-
 }  // namespace
 
 uint32_t SlotsForBandwidth(double link_mbps) {
@@ -182,59 +170,5 @@
   return endpoint->second.gone ? nullptr : &endpoint->second;
 }
 
-std::map<EndpointId, Holders> AssignHolders(const Directory& directory) {
-  std::vector<RelayRecord> relays;
-  for (const auto& [vm, record] : directory.relays) {
-    if (!record.gone && !record.draining) relays.push_back(record);
-  }
-  // Ordered by address, so that a replacement at the same address gets the
-  // same holders.
-  std::vector<EndpointRecord> endpoints;
-  for (const auto& [id, record] : directory.endpoints) {
-    if (!record.gone) endpoints.push_back(record);
-  }
-  std::sort(endpoints.begin(), endpoints.end(),
-            [](const EndpointRecord& a, const EndpointRecord& b) {
-              return std::tie(a.address, a.id) < std::tie(b.address, b.id);
-            });
-  std::map<VmId, size_t> taken;
-  std::map<EndpointId, Holders> assigned;
-  for (const EndpointRecord& endpoint : endpoints) {
-    struct Candidate {
-      bool far = false;
-      size_t taken = 0;
-      uint64_t weight = 0;
-      const RelayRecord* relay = nullptr;
-    };
-    std::string key = ToString(endpoint.address);
-    std::vector<Candidate> candidates;
-    for (const RelayRecord& relay : relays) {
-      candidates.push_back({relay.zone != endpoint.zone, taken[relay.vm],
-                            Weight(key, relay.vm.value()), &relay});
-    }
-    size_t kept =
-        std::min<size_t>(candidates.size(), endpoint.slots + kReserveHolders);
-    std::partial_sort(
-        candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(kept),
-        candidates.end(), [](const Candidate& a, const Candidate& b) {
-          return std::tie(a.far, a.taken, b.weight) <
-                 std::tie(b.far, b.taken, a.weight);
-        });
-    Holders& holders = assigned[endpoint.id];
-    uint32_t covered = 0;
-    for (size_t i = 0; i < kept; ++i) {
-      const RelayRecord& relay = *candidates[i].relay;
-      if (covered >= endpoint.slots) {
-        if (holders.reserve.size() == kReserveHolders) break;
-        holders.reserve.push_back(relay);
-        continue;
-      }
-      covered += std::max<uint32_t>(relay.slots_carried, 1);
-      holders.active.push_back(relay);
-      ++taken[relay.vm];
-    }
-  }
-  return assigned;
-}
 
 }  // namespace cardamomchute
--- a/policy/test/directory-test.cc
+++ b/policy/test/directory-test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "cardamomchute/policy/holders.h"
+
 namespace cardamomchute {
 namespace {
 
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "cardamomchute/policy/directory.h"
+#include "cardamomchute/policy/holders.h"
 #include "cardamomchute/policy/layout.h"
 #include "cardamomchute/policy/primary_lease.h"
 #include "cardamomchute/relay/endpoint_pool.h"
@@ -57,6 +58,8 @@
   ~Relay();
 
   Status Start();
+  /// Merges `delta`. Holders are assigned anew soon, not for each of many
+  /// deltas in quick succession.
   void OnDirectory(const DirectoryDelta& delta);
   void OnLayout(std::shared_ptr<const Layout> layout);
   /// Takes the answer to request `number`: leases on `primaries` for `valid`
@@ -91,6 +94,9 @@
   };
 
   void Accept();
+  void AssignSoon();
+  void Assign();
+  void UpdatePools();
   void ScheduleSweep();
   void Sweep();
   void CheckDrained();
@@ -117,8 +123,11 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer drain_timer_;
+  boost::asio::steady_timer assign_timer_;
   Directory directory_;
   std::map<EndpointId, Holders> holders_;
+  bool assign_due_ = false;
+  Time assigned_at_;
   std::shared_ptr<const Layout> layout_;
   std::shared_ptr<RelayMesh> mesh_;
   std::map<EndpointId, std::shared_ptr<EndpointPool>> pools_;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -16,6 +16,9 @@
 
 constexpr Duration kSweep = Millis(500);
 constexpr Duration kDrainStep = Millis(50);
+/// Minimum interval between two assignments of holders, which cost processor
+/// time in proportion to relays times endpoints.
+constexpr Duration kAssignInterval = Millis(150);
 /// The balancer still sends new callers for this long after a VM says that it
 /// is not ready.
 constexpr Duration kBalancerLag = Millis(2500);
@@ -47,7 +50,8 @@
       metrics_(params_.metrics),
       acceptor_(*params_.io),
       timer_(*params_.io),
-      drain_timer_(*params_.io) {}
+      drain_timer_(*params_.io),
+      assign_timer_(*params_.io) {}
 
 Relay::~Relay() = default;
 
@@ -128,8 +132,35 @@
 // ---- what control says -----------------------------------------------------
 
 void Relay::OnDirectory(const DirectoryDelta& delta) {
-  Merge(directory_, delta, Now());
+  DirectoryDelta changed = Merge(directory_, delta, Now());
+  bool due = !changed.endpoints.empty() || !changed.relays.empty();
+  if (due) AssignSoon();
+  UpdatePools();
+}
+
+void Relay::AssignSoon() {
+  if (assign_due_) return;
+  Duration wait = assigned_at_ + kAssignInterval - Now();
+  if (wait <= Duration()) return Assign();
+  assign_due_ = true;
+  assign_timer_.expires_after(std::chrono::milliseconds(wait.ms()));
+  std::weak_ptr<Relay> weak = weak_from_this();
+  assign_timer_.async_wait([weak](error_code cancelled) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (!self || cancelled) return;
+    self->Assign();
+    self->UpdatePools();
+  });
+}
+
+void Relay::Assign() {
+  assign_due_ = false;
+  assigned_at_ = Now();
   holders_ = AssignHolders(directory_);
+}
+
+/// Brings the pools in line with the directory and the holders.
+void Relay::UpdatePools() {
   for (auto it = pools_.begin(); it != pools_.end();) {
     auto record = directory_.endpoints.find(it->first);
     bool gone = record != directory_.endpoints.end() &&
@@ -480,6 +511,7 @@
   acceptor_.close(ignored);
   timer_.cancel();
   drain_timer_.cancel();
+  assign_timer_.cancel();
   std::set<std::shared_ptr<RelayedSession>> sessions = std::move(sessions_);
   for (const std::shared_ptr<RelayedSession>& session : sessions)
     session->Close();
