Close connections that a peak of load has left unused

Change: connections beyond the slots and a spare are closed after 3 s without use. A queue that waits for a lease opens none.

--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -92,6 +92,8 @@
   /// the first reads after an idle period would require the replica to have the
   /// newest one.
   void KeepFloor();
+  /// Closes connections that a peak of load has left unused.
+  void Trim(Time now);
   /// Closes all connections and fails all statements.
   void Close();
 
--- a/relay/src/endpoint_pool_connections.cc
+++ b/relay/src/endpoint_pool_connections.cc
@@ -9,7 +9,12 @@
 namespace cardamomchute {
 
 void EndpointPool::Grow() {
-  size_t spare = connecting_;
+  // Idle ones that do not help are waiting for a lease.
+  size_t idle = static_cast<size_t>(
+      std::count_if(held_.begin(), held_.end(), [](const HeldPtr& held) {
+        return held->ready && !held->busy && !held->pinned;
+      }));
+  size_t spare = connecting_ + idle;
   size_t wanted = std::min<size_t>(queue_.size(), bounds_.slots);
   while (spare < wanted && held_.size() < bounds_.connections &&
          Now() >= next_connect_) {
@@ -18,6 +23,17 @@
   }
 }
 
+void EndpointPool::Trim(Time now) {
+  size_t kept = bounds_.slots + kWarmSpare;
+  std::vector<HeldPtr> all = held_;
+  for (auto it = all.rbegin(); it != all.rend() && held_.size() > kept; ++it) {
+    const Held& held = **it;
+    bool unused = held.ready && !held.busy && !held.pinned &&
+                  now - held.sent_at > kIdleConnection;
+    if (unused) Drop(*it);
+  }
+}
+
 void EndpointPool::Connect() {
   HeldPtr held = std::make_shared<Held>();
   held->link =
@@ -41,6 +57,7 @@
     connect_failed_ = false;
     last_read_ = now;
     held->ready = true;
+    held->sent_at = now;
     std::weak_ptr<EndpointPool> weak = weak_from_this();
     std::weak_ptr<Held> weak_held = held;
     held->link->OnLost([weak, weak_held] {
--- a/relay/src/pool_timing.h
+++ b/relay/src/pool_timing.h
@@ -16,6 +16,11 @@
 /// Connections opened ahead in addition to one per slot.
 inline constexpr size_t kWarmSpare = 1;
 
+/// A connection beyond those is closed after this long without use. What a VM
+/// held open when it lost power counts against the endpoint's limit for
+/// seconds, so that its successor may be refused.
+inline constexpr Duration kIdleConnection = Seconds(3);
+
 inline constexpr Duration kTick = Millis(50);
 inline constexpr Duration kConnectTimeout = Millis(500);
 inline constexpr Duration kConnectPauseMin = Millis(50);
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -457,6 +457,7 @@
   for (auto it = pools_.begin(); it != pools_.end();) {
     bool holds = SharersWith(it->first) > 0;
     if (holds) it->second->KeepFloor();
+    it->second->Trim(now);
     bool unused = !holds && it->second->Idle() &&
                   now - it->second->last_used() > kPoolIdle;
     if (!unused) {
--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -221,6 +221,38 @@
   BOOST_TEST(f.group.CountOf("gone") == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(connections_that_a_peak_left_unused_are_closed) {
+  Fixture f;
+  f.bounds.connections = 12;
+  f.pool->SetBounds(f.bounds);
+  // Each open transaction pins a connection.
+  for (int i = 0; i < 8; ++i)
+    f.Run(f.Request(RunStep::kFirst, "READ k"), "c" + std::to_string(i));
+  BOOST_TEST(f.pool->connections() >= 8u);
+  for (int i = 0; i < 8; ++i)
+    f.pool->Abandon(SessionKey{VmId("c" + std::to_string(i)), 1}, 1);
+  BOOST_REQUIRE(f.RunUntil([&] { return f.pool->Idle(); }));
+  f.RunUntil([until = Now() + Millis(100)] { return Now() > until; });
+  size_t open = f.pool->connections();
+  f.pool->Trim(Now());
+  BOOST_TEST(f.pool->connections() == open);
+  f.pool->Trim(Now() + Seconds(4));
+  BOOST_TEST(f.pool->connections() == f.bounds.slots + 1);
+  BOOST_TEST((f.Run(f.Request(RunStep::kSingle, "READ k")).outcome ==
+              StatementStatus::kDone));
+}
+
+BOOST_AUTO_TEST_CASE(no_connections_are_opened_while_a_lease_is_missing) {
+  Fixture f(0, 3, true);
+  f.pool->Warm();
+  f.RunUntil([until = Now() + Millis(100)] { return Now() > until; });
+  size_t open = f.pool->connections();
+  for (int i = 0; i < 5; ++i)
+    f.Submit(f.Request(RunStep::kSingle, "READ k"), "c" + std::to_string(i));
+  f.RunUntil([until = Now() + Millis(200)] { return Now() > until; });
+  BOOST_TEST(f.pool->connections() == open);
+}
+
 BOOST_AUTO_TEST_CASE(values_of_one_session_never_reach_another) {
   Fixture f;
   RunRequest with = f.Request(RunStep::kSingle, "READ k");
