Look routes up by binary search

A front searched all routes of the layout for each statement outside of a transaction and each new session; layouts of 1,400 routes are accepted.

--- a/policy/include/cardamomchute/policy/layout.h
+++ b/policy/include/cardamomchute/policy/layout.h
@@ -46,7 +46,7 @@
 /// One accepted version of the configuration.
 struct Layout {
   uint64_t version = 0;
-  std::vector<RouteSpec> routes;
+  std::vector<RouteSpec> routes;  ///< ordered by `OrderRoutes`
   std::map<GroupId, GroupLimits> groups;
   Duration idle_transaction = Seconds(3);
 };
@@ -54,7 +54,11 @@
 /// Returns an error for the first rule that `layout` violates, otherwise Ok.
 Status CheckLayout(const Layout& layout);
 
-/// Returns the route of `database`, or null.
+/// Orders the routes by database for FindRoute; those of one database keep their
+/// order.
+void OrderRoutes(Layout& layout);
+
+/// Returns the first route of `database`, or null. The routes must be ordered.
 const RouteSpec* FindRoute(const Layout& layout, const DatabaseName& database);
 
 /// Returns the smallest `max_staleness` of the routes that may read from
--- a/policy/src/layout.cc
+++ b/policy/src/layout.cc
@@ -33,11 +33,21 @@
   return Ok();
 }
 
+void OrderRoutes(Layout& layout) {
+  std::stable_sort(layout.routes.begin(), layout.routes.end(),
+                   [](const RouteSpec& a, const RouteSpec& b) {
+                     return a.database < b.database;
+                   });
+}
+
 const RouteSpec* FindRoute(const Layout& layout, const DatabaseName& database) {
-  auto it = std::find_if(
-      layout.routes.begin(), layout.routes.end(),
-      [&database](const RouteSpec& r) { return r.database == database; });
-  return it == layout.routes.end() ? nullptr : &*it;
+  auto it =
+      std::lower_bound(layout.routes.begin(), layout.routes.end(), database,
+                       [](const RouteSpec& r, const DatabaseName& name) {
+                         return r.database < name;
+                       });
+  bool found = it != layout.routes.end() && it->database == database;
+  return found ? &*it : nullptr;
 }
 
 std::optional<Duration> StrictestStaleness(const Layout& layout,
--- a/policy/test/layout-test.cc
+++ b/policy/test/layout-test.cc
@@ -60,6 +60,27 @@
   BOOST_TEST(!StrictestStaleness(layout, GroupId("other")));
 }
 
+BOOST_AUTO_TEST_CASE(routes_are_found_by_database_among_many) {
+  Layout layout;
+  for (int i = 999; i >= 0; --i) {
+    for (const char* scope : {"/b", "/a"}) {
+      RouteSpec route;
+      route.database = DatabaseName("db" + std::to_string(i));
+      route.scope = scope;
+      layout.routes.push_back(route);
+    }
+  }
+  OrderRoutes(layout);
+  for (int i = 0; i < 1000; ++i) {
+    const RouteSpec* route =
+        FindRoute(layout, DatabaseName("db" + std::to_string(i)));
+    BOOST_REQUIRE(route != nullptr);
+    BOOST_TEST(route->scope == "/b");
+  }
+  BOOST_TEST(FindRoute(layout, DatabaseName("db1000")) == nullptr);
+  BOOST_TEST(FindRoute(layout, DatabaseName("")) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
