Choose a reader without copying the directory, and name a missing lease

Each read scanned and copied all endpoint records of the directory. Reads that waited for a lease were refused as if no slot had been free.

--- a/fleet/include/cardamomchute/fleet/primary_replacement.h
+++ b/fleet/include/cardamomchute/fleet/primary_replacement.h
@@ -33,8 +33,8 @@
 enum class PromoteOutcome : uint8_t {
   kAccepted,  ///< the promotion will be carried out
   kRefused,   ///< stale token, or the endpoint is not running
-  kNotSent,   ///< dropped: too late to send it, or no connection
-  kUnknown    ///< no conclusive answer; the promotion may still happen
+  kUnknown,   ///< no conclusive answer; the promotion may still happen
+  kNotSent    ///< dropped: too late to send it, or no connection
 };
 
 using PromoteFunction = std::function<void(
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -101,6 +101,9 @@
   void Sweep();
   void CheckDrained();
   std::optional<Target> HolderOf(const EndpointRecord& endpoint) const;
+  /// Returns the VM to use for the endpoint, port 0 for this one; nullopt if
+  /// none is expected to reach it.
+  std::optional<Address> HolderAddressOf(const EndpointId& endpoint) const;
   /// Returns how many VMs share the endpoint's slots, or 0 if this VM is not
   /// one of them.
   size_t SharersWith(const EndpointId& endpoint) const;
@@ -125,6 +128,8 @@
   boost::asio::steady_timer drain_timer_;
   boost::asio::steady_timer assign_timer_;
   Directory directory_;
+  /// Endpoints of each group that are not gone, as in `directory_`.
+  std::map<GroupId, std::vector<EndpointRecord>> members_;
   std::map<EndpointId, Holders> holders_;
   bool assign_due_ = false;
   Time assigned_at_;
--- a/relay/src/endpoint_pool_watch.cc
+++ b/relay/src/endpoint_pool_watch.cc
@@ -48,10 +48,11 @@
     std::unique_ptr<Job> job = std::move(it->second);
     it = jobs_.erase(it);
     bool transaction = InTransaction(job->request.step);
+    bool leased = transaction || LeaseAllows(*job, now);
     if (transaction) Abandon(job->key, job->request.run);
     Refuse(std::move(job),
            transaction ? StatementStatus::kAborted : StatementStatus::kBusy,
-           "waited too long for a slot");
+           leased ? "waited too long for a slot" : "no lease on the primary");
   }
 }
 
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -133,6 +133,12 @@
 
 void Relay::OnDirectory(const DirectoryDelta& delta) {
   DirectoryDelta changed = Merge(directory_, delta, Now());
+  if (!changed.endpoints.empty()) {
+    members_.clear();
+    for (const auto& [id, record] : directory_.endpoints) {
+      if (!record.gone) members_[record.group].push_back(record);
+    }
+  }
   bool due = !changed.endpoints.empty() || !changed.relays.empty();
   if (due) AssignSoon();
   UpdatePools();
@@ -298,11 +304,17 @@
 }
 
 std::optional<Target> Relay::HolderOf(const EndpointRecord& endpoint) const {
-  Target target{endpoint, Address(), false};
+  std::optional<Address> holder = HolderAddressOf(endpoint.id);
+  if (!holder) return std::nullopt;
   auto primary = directory_.primaries.find(endpoint.group);
-  target.is_primary = primary != directory_.primaries.end() &&
-                      primary->second.endpoint == endpoint.id;
-  auto found = holders_.find(endpoint.id);
+  bool is_primary = primary != directory_.primaries.end() &&
+                    primary->second.endpoint == endpoint.id;
+  return Target{endpoint, *holder, is_primary};
+}
+
+std::optional<Address> Relay::HolderAddressOf(
+    const EndpointId& endpoint) const {
+  auto found = holders_.find(endpoint);
   if (found != holders_.end()) {
     const Holders& holders = found->second;
     size_t count = holders.active.size();
@@ -311,13 +323,12 @@
       const RelayRecord& holder = i < count
                                       ? holders.active[(begin + i) % count]
                                       : holders.reserve[i - count];
-      target.holder = holder.vm == params_.vm ? Address() : holder.address;
-      if (Usable(endpoint.id, target.holder)) return target;
+      Address address = holder.vm == params_.vm ? Address() : holder.address;
+      if (Usable(endpoint, address)) return address;
     }
   }
-  target.holder = Address();
-  if (!Usable(endpoint.id, target.holder)) return std::nullopt;
-  return target;
+  if (!Usable(endpoint, Address())) return std::nullopt;
+  return Address();
 }
 
 bool Relay::Usable(const EndpointId& endpoint, const Address& holder) const {
@@ -349,25 +360,27 @@
                                       Duration max_staleness,
                                       const std::set<EndpointId>& tried) const {
   const EndpointRecord* primary = CurrentPrimary(directory_, group);
-  std::optional<Target> best;
+  const EndpointRecord* best = nullptr;
   uint64_t best_cost = 0;
   Time now = Now();
-  for (const EndpointRecord& member : MembersOf(directory_, group)) {
+  auto members = members_.find(group);
+  if (members == members_.end()) return std::nullopt;
+  for (const EndpointRecord& member : members->second) {
     bool is_primary = primary != nullptr && member.id == primary->id;
     if (is_primary || member.leaving || tried.contains(member.id)) continue;
     auto lag = lagging_.find({member.id, max_staleness});
     if (lag != lagging_.end() && now < lag->second.until) continue;
-    std::optional<Target> target = HolderOf(member);
-    if (!target) continue;
     uint64_t cost = member.zone == params_.zone ? 0 : kOtherZoneCost;
     auto load = loads_.find(member.id);
     bool known = load != loads_.end() && now - load->second.at < kLoadValid;
     if (known) cost += load->second.waiting;
-    if (best && cost >= best_cost) continue;
-    best = target;
+    if (best != nullptr && cost >= best_cost) continue;
+    if (!HolderAddressOf(member.id)) continue;
+    best = &member;
     best_cost = cost;
   }
-  if (best || primary == nullptr || tried.contains(primary->id)) return best;
+  if (best != nullptr) return HolderOf(*best);
+  if (primary == nullptr || tried.contains(primary->id)) return std::nullopt;
   return HolderOf(*primary);
 }
 
