--- a/policy/include/cardamomchute/policy/layout.h
+++ b/policy/include/cardamomchute/policy/layout.h
@@ -54,8 +54,8 @@
 /// Returns an error for the first rule that `layout` violates, otherwise Ok.
 Status CheckLayout(const Layout& layout);
 
-/// Orders the routes by database for FindRoute; those of one database keep their
-/// order.
+/// Orders the routes by database for FindRoute; those of one database keep
+/// their order.
 void OrderRoutes(Layout& layout);
 
 /// Returns the first route of `database`, or null. The routes must be ordered.
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -170,5 +170,4 @@
   return endpoint->second.gone ? nullptr : &endpoint->second;
 }
 
-
 }  // namespace cardamomchute
--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -155,7 +155,8 @@
   read.at_primary = false;
   read.max_staleness = Millis(1500);
   read.hold = Millis(200);
-  BOOST_TEST((f.Run(std::move(read)).outcome == StatementStatus::kBusy));
+  RunAnswer answer = f.Run(std::move(read));
+  BOOST_TEST((answer.outcome == StatementStatus::kBusy));
   BOOST_TEST(f.group.member(0).runs.empty());
 }
 
@@ -179,7 +180,8 @@
   f.RunUntil([until = Now() + Millis(20)] { return Now() > until; });
   RunRequest read = f.Request(RunStep::kFirst, "READ k");
   read.max_staleness = Millis(1500);
-  BOOST_TEST((f.Run(std::move(read)).outcome == StatementStatus::kDone));
+  RunAnswer answer = f.Run(std::move(read));
+  BOOST_TEST((answer.outcome == StatementStatus::kDone));
 }
 
 BOOST_AUTO_TEST_CASE(a_first_statement_after_a_refused_begin_does_not_run) {
