Call the relays after a restart of all control members

Change: stewards keep the relays' addresses on disk; when contact with a leader is first there and no relay is known, each relay is called by three members and told where control is. Compressed pushes and differences go only to relays that report to take them, so that relays of an older release go on.

--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -64,6 +64,9 @@
       link_->Report(group, endpoint, trouble);
     });
   };
+  relay.on_control_hint = [this](const std::vector<Address>& members) {
+    asio::post(control_, [this, members] { link_->AddMembers(members); });
+  };
   if (!settings_.fencing) {
     relay.ask_leases = [this](uint64_t number,
                               const std::vector<GroupId>& groups) {
--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -40,6 +40,8 @@
   void Start();
   /// Marks this relay as draining in its reports, and sends one at once.
   void SetDraining();
+  /// Adds members to connect to, and tries one at once if there is no link.
+  void AddMembers(const std::vector<Address>& members);
   void SetLayoutVersion(uint64_t version) { layout_version_ = version; }
   /// Reports a problem with an endpoint; dropped while the link is down.
   void Report(const GroupId& group, const EndpointId& endpoint,
--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -94,6 +94,7 @@
     LinkPtr link;
     uint64_t layout_version = 0;  ///< last one that was sent to it
     bool greeted = false;         ///< has got the directory
+    bool takes_changes = false;   ///< see RelayReport
   };
   /// A relay that connected while no leader was known.
   struct WaitingRelay {
@@ -117,9 +118,14 @@
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
   void GreetRelays();
+  /// Returns the message for relays of this and of older releases.
+  static const std::string& PackedFor(const ConnectedRelay& relay,
+                                      const FleetMessage& message,
+                                      std::map<bool, std::string>* packed);
   void Flush();
   void PushLayout(Time now);
   void SendFarewells();
+  void CallRelays(Time now);
   void LoadDirectory();
   void SaveDirectory(Time now);
   DirectoryPush BarePush() const;
@@ -164,6 +170,12 @@
   std::map<GroupId, Time> next_review_;
   std::map<GroupId, Time> primary_set_at_;
   std::map<GroupId, Time> next_lag_look_;
+  /// Relays that were known before this process started. They may be looking
+  /// for control, and know only the seeds.
+  std::vector<Address> former_relays_;
+  /// Links on which those were called, closed after a while.
+  std::vector<LinkPtr> calls_;
+  Time calls_end_;
   Time next_cache_;
   bool cache_due_ = false;
   uint64_t changes_ = 0;  ///< primary changes in this control term
--- a/fleet/include/cardamomchute/fleet/messages.h
+++ b/fleet/include/cardamomchute/fleet/messages.h
@@ -22,7 +22,9 @@
 struct RelayReport {
   RelayRecord relay;
   uint64_t layout_version = 0;  ///< version the relay routes by
-  MSGPACK_DEFINE(relay, layout_version)
+  /// Takes compressed messages and layout changes; older releases do not.
+  bool takes_changes = false;
+  MSGPACK_DEFINE(relay, layout_version, takes_changes)
 };
 
 /// A problem with an endpoint. A relay sends it to its control member, which
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -69,6 +69,16 @@
       kTiming);
 }
 
+void ControlLink::AddMembers(const std::vector<Address>& members) {
+  if (link_ || stopped_) return;
+  for (const Address& member : members) {
+    bool known =
+        std::find(members_.begin(), members_.end(), member) != members_.end();
+    if (!known) members_.push_back(member);
+  }
+  if (!dialling_) Dial();
+}
+
 void ControlLink::OnDialled(const Address& address,
                             std::shared_ptr<Link> link) {
   dialling_ = false;
@@ -101,6 +111,7 @@
   report.relay.sequence = ++sequence_;
   report.relay.slots_carried = params_.slots_carried;
   report.layout_version = layout_version_;
+  report.takes_changes = true;
   link_->Send(FrameType::kControl, PackVariant(FleetMessage(report)));
 }
 
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -1,11 +1,13 @@
 #include "cardamomchute/fleet/fleet_controller.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "cardamomchute/base/log.h"
 #include "cardamomchute/base/pack.h"
 #include "cardamomchute/peers/record_file.h"
+#include "cardamomchute/relay/run.h"
 
 namespace cardamomchute {
 namespace {
@@ -28,6 +30,10 @@
 /// Minimum interval between two writes of the directory to disk.
 constexpr Duration kCacheInterval = Seconds(3);
 constexpr char kCacheFile[] = "directory";
+constexpr char kRelaysFile[] = "relays";
+/// Members that call each former relay, as some may not be back yet.
+constexpr size_t kCallsPerRelay = 3;
+constexpr Duration kCallTimeout = Millis(500);
 constexpr uint64_t kSnapshotAfter = 200;
 constexpr uint64_t kSnapshotBytes = 4 * 1024 * 1024;
 
@@ -82,6 +88,8 @@
   successions_.clear();
   relays_.clear();
   waiting_.clear();
+  for (const LinkPtr& link : calls_) link->Close();
+  calls_.clear();
 }
 
 void FleetController::SetSeeds(const std::vector<Address>& seeds) {
@@ -296,6 +304,7 @@
   delta.relays.push_back(report.relay);
   TakeDelta(delta, false);
   if (first) relay.layout_version = report.layout_version;
+  relay.takes_changes = report.takes_changes;
 }
 
 /// Serves relays that connected while no leader was known, or sends them to
@@ -353,41 +362,53 @@
   return push;
 }
 
+const std::string& FleetController::PackedFor(
+    const ConnectedRelay& relay, const FleetMessage& message,
+    std::map<bool, std::string>* packed) {
+  std::string& bytes = (*packed)[relay.takes_changes];
+  if (bytes.empty())
+    bytes = relay.takes_changes ? PackForRelay(message) : PackMessage(message);
+  return bytes;
+}
+
 /// Sends the whole directory to relays that have connected since the last call:
 /// after a restart many do, and one message serves them all.
 void FleetController::GreetRelays() {
-  std::string bare;
-  std::map<bool, std::string> messages;  // by whether the layout is included
+  bool any = std::any_of(relays_.begin(), relays_.end(),
+                         [](const auto& item) { return !item.second.greeted; });
+  if (!any) return;
+  std::string bare = PackMessage(BarePush());
+  DirectoryPush known = BarePush();
+  known.delta = FullDelta(directory_);
+  DirectoryPush with_layout = known;
+  with_layout.layout = layout_;
+  std::map<bool, std::string> packed;
+  std::map<bool, std::string> packed_with_layout;
   for (auto& [key, relay] : relays_) {
     if (std::exchange(relay.greeted, true)) continue;
-    bool with_layout = layout_.version > relay.layout_version;
-    std::string& message = messages[with_layout];
-    if (message.empty()) {
-      DirectoryPush push = BarePush();
-      push.delta = FullDelta(directory_);
-      if (with_layout) push.layout = layout_;
-      message = PackForRelay(push);
-      bare = PackMessage(BarePush());
-    }
     // A link accepts only a short frame first.
     relay.link->Send(FrameType::kControl, bare);
+    bool needs_layout = layout_.version > relay.layout_version;
+    const std::string& message =
+        needs_layout ? PackedFor(relay, with_layout, &packed_with_layout)
+                     : PackedFor(relay, known, &packed);
     relay.link->Send(FrameType::kControl, message);
-    if (with_layout) relay.layout_version = layout_.version;
+    if (needs_layout) relay.layout_version = layout_.version;
   }
 }
 
 /// Pushes queued changes.
 void FleetController::Flush() {
-  if (!to_relays_.Empty() && !relays_.empty()) {
+  if (!to_relays_.Empty()) {
     DirectoryPush push = BarePush();
-    push.delta = to_relays_;
-    std::string message = PackForRelay(push);
+    push.delta = std::exchange(to_relays_, DirectoryDelta());
+    std::map<bool, std::string> packed;
     for (const auto& [key, relay] : relays_) {
       // Others get the whole directory below.
-      if (relay.greeted) relay.link->Send(FrameType::kControl, message);
+      if (!relay.greeted) continue;
+      relay.link->Send(FrameType::kControl, PackedFor(relay, push, &packed));
     }
   }
-  to_relays_ = DirectoryDelta();
   GreetRelays();
   PushLayout(Now());
   if (to_members_.Empty()) return;
@@ -408,14 +429,16 @@
   change.layout_change =
       LayoutChange{pushed_.version, layout_.version,
                    MakeTextDelta(pushed_.text, layout_.text)};
-  std::string whole_message;
-  std::string change_message = PackForRelay(change);
+  std::map<bool, std::string> packed;
+  std::map<bool, std::string> packed_change;
   for (auto& [key, relay] : relays_) {
     if (relay.layout_version >= layout_.version) continue;
-    bool has_base = relay.layout_version == pushed_.version;
-    if (!has_base && whole_message.empty()) whole_message = PackForRelay(whole);
-    relay.link->Send(FrameType::kControl,
-                     has_base ? change_message : whole_message);
+    bool has_base =
+        relay.takes_changes && relay.layout_version == pushed_.version;
+    const std::string& message = has_base
+                                     ? PackedFor(relay, change, &packed_change)
+                                     : PackedFor(relay, whole, &packed);
+    relay.link->Send(FrameType::kControl, message);
     relay.layout_version = layout_.version;
   }
   pushed_ = layout_;
@@ -453,6 +476,7 @@
   bool has_leader_contact = host_->HasLeaderContact(now);
   if (!has_leader_contact && !out_of_touch_) SendFarewells();
   ServeWaiting(now, has_leader_contact);
+  if (has_leader_contact) CallRelays(now);
   out_of_touch_ = !has_leader_contact;
   DirectoryDelta expired = Expire(directory_, now);
   to_relays_.relays.insert(to_relays_.relays.end(), expired.relays.begin(),
@@ -467,10 +491,61 @@
   SaveDirectory(now);
 }
 
+/// Tells relays from before a restart where control is. Only after a restart of
+/// all members: others send a restarted one the directory, with the relays.
+void FleetController::CallRelays(Time now) {
+  if (!calls_.empty() && now >= calls_end_) {
+    for (const LinkPtr& link : calls_) link->Close();
+    calls_.clear();
+  }
+  std::vector<Address> relays = std::exchange(former_relays_, {});
+  if (relays.empty() || !directory_.relays.empty()) return;
+  const QuorumConfig& config = host_->quorum().config;
+  auto self = config.members.find(host_->quorum().self);
+  size_t rank =
+      static_cast<size_t>(std::distance(config.members.begin(), self));
+  ControlHint hint{BarePush().members};
+  std::string message = PackVariant(RelayMessage(hint));
+  calls_end_ = now + kCallTimeout;
+  size_t called = 0;
+  for (size_t i = 0; i < relays.size(); ++i) {
+    size_t distance =
+        (rank + config.members.size() - i % config.members.size()) %
+        config.members.size();
+    if (distance >= kCallsPerRelay) continue;
+    ++called;
+    ConnectLink(params_.io->get_executor(), relays[i], kCallTimeout,
+                [this, message, alive = std::weak_ptr<QuorumHost>(host_)](
+                    const LinkPtr& link) {
+                  std::shared_ptr<QuorumHost> host = alive.lock();
+                  if (!link) return;
+                  if (!host || host->stopped()) return link->Close();
+                  link->Start([](FrameType, std::string_view) {},
+                              [](const std::string&) {});
+                  link->Send(FrameType::kRelay, message);
+                  calls_.push_back(link);
+                  calls_end_ = Now() + kCallTimeout;
+                });
+  }
+  LogLine(LogLevel::kInfo, "relays_called")
+      .Field("called", called)
+      .Field("known", relays.size());
+}
+
 /// Restores the announcements from before a restart, used until the endpoints
 /// announce themselves again. Stale entries are harmless: an endpoint rejects
 /// connections meant for another one, and writes if it is not the primary.
 void FleetController::LoadDirectory() {
+  std::optional<std::string> relays =
+      ReadRecordFile(params_.data_folder / kRelaysFile);
+  if (relays) {
+    Result<std::vector<Address>> known = Unpack<std::vector<Address>>(*relays);
+    if (known)
+      former_relays_ = std::move(known.value());
+    else
+      LogLine(LogLevel::kWarn, "relays_copy_refused")
+          .Field("error", ToString(known.error()));
+  }
   std::optional<std::string> bytes =
       ReadRecordFile(params_.data_folder / kCacheFile);
   if (!bytes) return;
@@ -491,7 +566,13 @@
   DirectoryDelta kept = FullDelta(directory_);
   // Relays report themselves as soon as they reconnect.
   kept.relays.clear();
+  std::vector<Address> relays;
+  for (const auto& [vm, record] : directory_.relays) {
+    if (!record.gone) relays.push_back(record.address);
+  }
   Status saved = WriteRecordFile(params_.data_folder / kCacheFile, Pack(kept));
+  if (saved)
+    saved = WriteRecordFile(params_.data_folder / kRelaysFile, Pack(relays));
   if (saved) return;
   LogLine(LogLevel::kWarn, "directory_copy_failed")
       .Field("error", ToString(saved.error()));
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "cardamomchute/relay/relay_mesh.h"
 #include "fleet_controller_cluster.h"
 #include "line_group.h"
 
@@ -11,12 +12,12 @@
 /// A relay's link that keeps what it is told.
 struct Listener {
   Listener(FleetControllerCluster* cluster, const std::string& vm,
-           size_t member) {
+           size_t member, Address peers = Address{"127.0.0.1", 1}) {
     ControlLinkParams params;
     params.io = &cluster->io;
     params.vm = VmId(vm);
     params.zone = Zone("a");
-    params.peers = Address{"127.0.0.1", 1};
+    params.peers = peers;
     params.on_push = [this](const DirectoryPush& push) {
       ++pushes;
       Merge(directory, push.delta, Now());
@@ -222,6 +223,36 @@
   BOOST_TEST(!b.went_back);
 }
 
+/// After a restart of all machines a relay knows only the seeds, and these may
+/// come back last.
+BOOST_AUTO_TEST_CASE(stewards_call_the_relays_after_a_restart_of_all) {
+  FleetControllerCluster cluster(5);
+  Address peers{"127.0.0.90", cluster.AddressOf(0).port};
+  size_t hints = 0;
+  std::vector<Address> members;
+  MeshHandlers handlers;
+  handlers.on_control_hint = [&](const ControlHint& hint) {
+    ++hints;
+    members = hint.members;
+  };
+  std::shared_ptr<RelayMesh> relay = std::make_shared<RelayMesh>(
+      &cluster.io, VmId("relay-a"), std::move(handlers));
+  BOOST_REQUIRE(relay->Listen(peers));
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  {
+    Listener listener(&cluster, "relay-a", 0, peers);
+    BOOST_REQUIRE(cluster.RunUntil([&] { return listener.version == 1; }));
+    // All five vote, and keep what they know on disk.
+    cluster.RunUntil([] { return false; }, Seconds(7));
+  }
+  BOOST_TEST(hints == 0u);
+  for (size_t i = 0; i < 5; ++i) cluster.Stop(i);
+  for (size_t i = 1; i < 5; ++i) cluster.Start(i, false);
+  BOOST_TEST(cluster.RunUntil([&] { return hints > 0; }));
+  BOOST_TEST(members.size() == 5u);
+  relay->Close();
+}
+
 /// A group of three behind a cluster that looks after its lead.
 struct Succession {
   /// The first three of `members` have announced themselves.
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -43,6 +43,9 @@
   /// Requests leases on the primaries of these groups; `OnLeases` gets the
   /// answer. Empty if none are needed. Called on the traffic thread.
   std::function<void(uint64_t number, const std::vector<GroupId>&)> ask_leases;
+  /// Gets addresses of control members that have called this relay; on the
+  /// traffic thread.
+  std::function<void(const std::vector<Address>&)> on_control_hint;
 };
 
 /// Destination of a statement.
--- a/relay/include/cardamomchute/relay/relay_mesh.h
+++ b/relay/include/cardamomchute/relay/relay_mesh.h
@@ -25,6 +25,7 @@
       on_floor;
   /// The last link from that VM was closed.
   std::function<void(const VmId& from)> on_gone;
+  std::function<void(const ControlHint&)> on_control_hint;
 };
 
 class RelayMesh : public std::enable_shared_from_this<RelayMesh> {
--- a/relay/include/cardamomchute/relay/run.h
+++ b/relay/include/cardamomchute/relay/run.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cardamomchute/policy/quorum_pack.h"
 #include "cardamomchute/relay/statement.h"
@@ -108,8 +109,16 @@
   MSGPACK_DEFINE(vm)
 };
 
-using RelayMessage = std::variant<RelayHello, RunRequest, RunAnswer, AbandonRun,
-                                  FloorQuestion, FloorAnswer, Ping>;
+/// From a control member: addresses at which control can be reached. After a
+/// restart a relay knows only its seeds, and these may come back last.
+struct ControlHint {
+  std::vector<Address> members;
+  MSGPACK_DEFINE(members)
+};
+
+using RelayMessage =
+    std::variant<RelayHello, RunRequest, RunAnswer, AbandonRun, FloorQuestion,
+                 FloorAnswer, Ping, ControlHint>;
 
 /// Returns the outcome to report for a statement whose answer is lost. Relies
 /// on the endpoint rolling back an uncommitted transaction when its connection
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -101,6 +101,11 @@
     self->PoolOf(question.endpoint, question.group, question.address)
         ->AnswerFloor(std::move(done));
   };
+  handlers.on_control_hint = [weak](const ControlHint& hint) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (self && self->params_.on_control_hint)
+      self->params_.on_control_hint(hint.members);
+  };
   handlers.on_gone = [weak](const VmId& from) {
     std::shared_ptr<Relay> self = weak.lock();
     if (!self) return;
--- a/relay/src/relay_mesh.cc
+++ b/relay/src/relay_mesh.cc
@@ -132,6 +132,8 @@
       LinkPtr to = weak.lock();
       if (to) to->Send(FrameType::kRelay, PackMessage(answer));
     });
+  } else if (auto* hint = std::get_if<ControlHint>(&message)) {
+    if (handlers_.on_control_hint) handlers_.on_control_hint(*hint);
   } else if (std::get_if<Ping>(&message) != nullptr) {
     link->Send(FrameType::kRelay, PackMessage(Ping{true}));
   }
