--- a/fleet/include/cardamomchute/fleet/messages.h
+++ b/fleet/include/cardamomchute/fleet/messages.h
@@ -110,6 +110,8 @@
                  PrimaryLeaseRequest, PrimaryLeaseGrant, GrantableRequest,
                  GrantableAnswer, CompressedMessage>;
 
+std::string PackFleetMessage(const FleetMessage& message);
+
 /// Packs a message for a relay, whose link is narrow: compressed if it is long.
 std::string PackForRelay(const FleetMessage& message);
 
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -112,7 +112,7 @@
   report.relay.slots_carried = params_.slots_carried;
   report.layout_version = layout_version_;
   report.takes_changes = true;
-  link_->Send(FrameType::kControl, PackVariant(FleetMessage(report)));
+  link_->Send(FrameType::kControl, PackFleetMessage(report));
 }
 
 void ControlLink::OnFrame(std::string_view body) {
@@ -158,13 +158,13 @@
 void ControlLink::Report(const GroupId& group, const EndpointId& endpoint,
                          EndpointProblem trouble) {
   if (!link_) return;
-  link_->Send(FrameType::kControl, PackVariant(FleetMessage(TroubleReport{
-                                       group, endpoint, trouble, params_.vm})));
+  link_->Send(FrameType::kControl, PackFleetMessage(TroubleReport{
+                                       group, endpoint, trouble, params_.vm}));
 }
 
 void ControlLink::RequestLeases(const PrimaryLeaseRequest& request) {
   if (!link_) return;
-  link_->Send(FrameType::kControl, PackVariant(FleetMessage(request)));
+  link_->Send(FrameType::kControl, PackFleetMessage(request));
 }
 
 void ControlLink::Stop() {
--- /dev/null
+++ b/fleet/src/fleet_controller_relays.cc
@@ -0,0 +1,209 @@
+/// What a control member sends to relays: layouts, the directory and leases.
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "cardamomchute/base/log.h"
+#include "cardamomchute/fleet/fleet_controller.h"
+#include "cardamomchute/relay/run.h"
+
+namespace cardamomchute {
+namespace {
+
+/// Minimum interval between two layouts pushed to relays. Versions in between
+/// are skipped, as only the newest is in force.
+constexpr Duration kLayoutPushInterval = Millis(500);
+/// A relay that connects while no leader is known is kept this long before it
+/// is sent to another member.
+constexpr Duration kWaitForLeader = Millis(600);
+/// Members that call each former relay, as some may not be back yet.
+constexpr size_t kCallsPerRelay = 3;
+constexpr Duration kCallTimeout = Millis(500);
+
+}  // namespace
+
+void FleetController::OnLeaseRequest(const LinkPtr& link,
+                                     const PrimaryLeaseRequest& request) {
+  std::weak_ptr<Link> weak = link;
+  leases_.OnRequest(request, [weak](const PrimaryLeaseGrant& grant) {
+    LinkPtr to = weak.lock();
+    if (to) to->Send(FrameType::kControl, PackFleetMessage(grant));
+  });
+}
+
+void FleetController::OnGrantableRequest(const GrantableRequest& request) {
+  std::optional<GrantableAnswer> answer = leases_.OnGrantableRequest(request);
+  if (!answer) return;
+  host_->SendTo(request.from, FrameType::kControl, PackFleetMessage(*answer));
+}
+
+void FleetController::OnRelayReport(const LinkPtr& link,
+                                    const RelayReport& report) {
+  bool first = !relays_.contains(link.get());
+  if (first && !host_->HasLeaderContact(Now())) {
+    waiting_.try_emplace(link.get(),
+                         WaitingRelay{link, report, Now() + kWaitForLeader});
+    return;
+  }
+  ConnectedRelay& relay = relays_[link.get()];
+  relay.link = link;
+  DirectoryDelta delta;
+  delta.relays.push_back(report.relay);
+  TakeDelta(delta, false);
+  if (first) relay.layout_version = report.layout_version;
+  relay.takes_changes = report.takes_changes;
+}
+
+/// Serves relays that connected while no leader was known, or sends them to
+/// another member once their wait has expired.
+void FleetController::ServeWaiting(Time now, bool has_leader_contact) {
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (!has_leader_contact && now < it->second.until) {
+      ++it;
+      continue;
+    }
+    WaitingRelay relay = it->second;
+    it = waiting_.erase(it);
+    if (has_leader_contact) {
+      OnRelayReport(relay.link, relay.report);
+      continue;
+    }
+    relay.link->Send(FrameType::kControl,
+                     PackFleetMessage(Farewell{BarePush().members}));
+  }
+}
+
+const std::string& FleetController::PackedFor(
+    const ConnectedRelay& relay, const FleetMessage& message,
+    std::map<bool, std::string>* packed) {
+  std::string& bytes = (*packed)[relay.takes_changes];
+  if (bytes.empty())
+    bytes =
+        relay.takes_changes ? PackForRelay(message) : PackFleetMessage(message);
+  return bytes;
+}
+
+/// Sends the whole directory to relays that have connected since the last call:
+/// after a restart many do, and one message serves them all.
+void FleetController::GreetRelays() {
+  bool any = std::any_of(relays_.begin(), relays_.end(),
+                         [](const auto& item) { return !item.second.greeted; });
+  if (!any) return;
+  std::string bare = PackFleetMessage(BarePush());
+  DirectoryPush known = BarePush();
+  known.delta = FullDelta(directory_);
+  DirectoryPush with_layout = known;
+  with_layout.layout = layout_;
+  std::map<bool, std::string> packed;
+  std::map<bool, std::string> packed_with_layout;
+  for (auto& [key, relay] : relays_) {
+    if (std::exchange(relay.greeted, true)) continue;
+    // A link accepts only a short frame first.
+    relay.link->Send(FrameType::kControl, bare);
+    bool needs_layout = layout_.version > relay.layout_version;
+    const std::string& message =
+        needs_layout ? PackedFor(relay, with_layout, &packed_with_layout)
+                     : PackedFor(relay, known, &packed);
+    relay.link->Send(FrameType::kControl, message);
+    if (needs_layout) relay.layout_version = layout_.version;
+  }
+}
+
+/// Pushes queued changes.
+void FleetController::Flush() {
+  if (!to_relays_.Empty()) {
+    DirectoryPush push = BarePush();
+    push.delta = std::exchange(to_relays_, DirectoryDelta());
+    std::map<bool, std::string> packed;
+    for (const auto& [key, relay] : relays_) {
+      // Others get the whole directory below.
+      if (!relay.greeted) continue;
+      relay.link->Send(FrameType::kControl, PackedFor(relay, push, &packed));
+    }
+  }
+  GreetRelays();
+  PushLayout(Now());
+  if (to_members_.Empty()) return;
+  DirectoryPush push;
+  push.delta = std::exchange(to_members_, DirectoryDelta());
+  host_->SendToAll(FrameType::kControl, PackFleetMessage(push));
+}
+
+/// Pushes the newest of several layouts: replaying the log applies many, and
+/// relays may have little bandwidth.
+void FleetController::PushLayout(Time now) {
+  if (!layout_due_ || now < next_layout_push_) return;
+  layout_due_ = false;
+  next_layout_push_ = now + kLayoutPushInterval;
+  DirectoryPush whole = BarePush();
+  whole.layout = layout_;
+  DirectoryPush change = BarePush();
+  change.layout_change =
+      LayoutChange{pushed_.version, layout_.version,
+                   MakeTextDelta(pushed_.text, layout_.text)};
+  std::map<bool, std::string> packed;
+  std::map<bool, std::string> packed_change;
+  for (auto& [key, relay] : relays_) {
+    if (relay.layout_version >= layout_.version) continue;
+    bool has_base =
+        relay.takes_changes && relay.layout_version == pushed_.version;
+    const std::string& message = has_base
+                                     ? PackedFor(relay, change, &packed_change)
+                                     : PackedFor(relay, whole, &packed);
+    relay.link->Send(FrameType::kControl, message);
+    relay.layout_version = layout_.version;
+  }
+  pushed_ = layout_;
+}
+
+/// Sends all relays to another member, since this one no longer learns what the
+/// quorum accepts.
+void FleetController::SendFarewells() {
+  std::string message = PackFleetMessage(Farewell{BarePush().members});
+  for (const auto& [key, relay] : relays_)
+    relay.link->Send(FrameType::kControl, message);
+  relays_.clear();
+}
+
+/// Tells relays from before a restart where control is. Only after a restart of
+/// all members: others send a restarted one the directory, with the relays.
+void FleetController::CallRelays(Time now) {
+  if (!calls_.empty() && now >= calls_end_) {
+    for (const LinkPtr& link : calls_) link->Close();
+    calls_.clear();
+  }
+  std::vector<Address> relays = std::exchange(former_relays_, {});
+  if (relays.empty() || !directory_.relays.empty()) return;
+  const QuorumConfig& config = host_->quorum().config;
+  auto self = config.members.find(host_->quorum().self);
+  size_t rank =
+      static_cast<size_t>(std::distance(config.members.begin(), self));
+  ControlHint hint{BarePush().members};
+  std::string message = PackVariant(RelayMessage(hint));
+  calls_end_ = now + kCallTimeout;
+  size_t called = 0;
+  for (size_t i = 0; i < relays.size(); ++i) {
+    size_t distance =
+        (rank + config.members.size() - i % config.members.size()) %
+        config.members.size();
+    if (distance >= kCallsPerRelay) continue;
+    ++called;
+    ConnectLink(params_.io->get_executor(), relays[i], kCallTimeout,
+                [this, message, alive = std::weak_ptr<QuorumHost>(host_)](
+                    const LinkPtr& link) {
+                  std::shared_ptr<QuorumHost> host = alive.lock();
+                  if (!link) return;
+                  if (!host || host->stopped()) return link->Close();
+                  link->Start([](FrameType, std::string_view) {},
+                              [](const std::string&) {});
+                  link->Send(FrameType::kRelay, message);
+                  calls_.push_back(link);
+                  calls_end_ = Now() + kCallTimeout;
+                });
+  }
+  LogLine(LogLevel::kInfo, "relays_called")
+      .Field("called", called)
+      .Field("known", relays.size());
+}
+
+}  // namespace cardamomchute
--- a/fleet/src/messages.cc
+++ b/fleet/src/messages.cc
@@ -11,10 +11,14 @@
 
 }  // namespace
 
+std::string PackFleetMessage(const FleetMessage& message) {
+  return PackVariant(message);
+}
+
 std::string PackForRelay(const FleetMessage& message) {
-  std::string plain = PackVariant(message);
+  std::string plain = PackFleetMessage(message);
   if (plain.size() < kCompressFromBytes) return plain;
-  return PackVariant(FleetMessage(CompressedMessage{Compress(plain)}));
+  return PackFleetMessage(CompressedMessage{Compress(plain)});
 }
 
 Result<FleetMessage> UnpackFleetMessage(std::string_view body) {
