Keep a primary confirmed for the rest of a leadership

A leader that had confirmed a primary took that back when a later look reached no replica, and relays lost their leases for nothing: only that leader could have replaced it, and it notes its own orders.

--- a/fleet/include/cardamomchute/fleet/primary_replacement.h
+++ b/fleet/include/cardamomchute/fleet/primary_replacement.h
@@ -78,9 +78,8 @@
   PromoteFunction promote;
   /// Notes that a request to promote is about to be sent.
   std::function<void()> ordered;
-  /// Notes whether the primary that `adopt` records is known to be the only
-  /// one.
-  std::function<void(bool)> confirmed;
+  /// Notes that the primary that `adopt` records is known to be the only one.
+  std::function<void()> confirmed;
   /// Records the endpoint as primary in the given term.
   std::function<void(const EndpointId&, Term)> adopt;
   std::function<void()> done;
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -211,12 +211,7 @@
     ConfirmAndRun(std::move(run));
   };
   params.ordered = [this, group] { confirmed_.erase(group); };
-  params.confirmed = [this, group](bool confirmed) {
-    if (confirmed)
-      confirmed_.insert(group);
-    else
-      confirmed_.erase(group);
-  };
+  params.confirmed = [this, group] { confirmed_.insert(group); };
   params.promote = params_.promote;
   params.adopt = [this, group](const EndpointId& endpoint, Term term) {
     SetPrimary(group, endpoint, term);
--- a/fleet/src/fleet_controller_relays.cc
+++ b/fleet/src/fleet_controller_relays.cc
@@ -174,18 +174,18 @@
   }
   std::vector<Address> relays = std::exchange(former_relays_, {});
   if (relays.empty() || !directory_.relays.empty()) return;
-  const QuorumConfig& config = host_->quorum().config;
-  auto self = config.members.find(host_->quorum().self);
-  size_t rank =
-      static_cast<size_t>(std::distance(config.members.begin(), self));
+  const std::map<MemberId, QuorumMember>& members =
+      host_->quorum().config.members;
+  if (members.empty()) return;
+  auto self = members.find(host_->quorum().self);
+  size_t rank = static_cast<size_t>(std::distance(members.begin(), self));
   ControlHint hint{BarePush().members};
   std::string message = PackVariant(RelayMessage(hint));
   calls_end_ = now + kCallTimeout;
   size_t called = 0;
   for (size_t i = 0; i < relays.size(); ++i) {
     size_t distance =
-        (rank + config.members.size() - i % config.members.size()) %
-        config.members.size();
+        (rank + members.size() - i % members.size()) % members.size();
     if (distance >= kCallsPerRelay) continue;
     ++called;
     ConnectLink(params_.io->get_executor(), relays[i], kCallTimeout,
--- a/fleet/src/primary_replacement.cc
+++ b/fleet/src/primary_replacement.cc
@@ -167,7 +167,9 @@
     Ask(answer.endpoint, command, Now() + kAskTimeout, [](MemberStatus) {});
   }
   if (leader.endpoint.id == params_.primary) {
-    params_.confirmed(ConfirmsPrimary(answers, params_.primary));
+    // A primary that this leader confirmed earlier stays so: nobody else could
+    // have replaced it.
+    if (ConfirmsPrimary(answers, params_.primary)) params_.confirmed();
     params_.adopt(leader.endpoint.id, leader.term);
     return After(kStatusInterval, &PrimaryReplacement::FinishUnlessSuspected);
   }
@@ -345,7 +347,7 @@
 }
 
 void PrimaryReplacement::AdoptChosen() {
-  params_.confirmed(true);
+  params_.confirmed();
   params_.adopt(chosen_.id, chosen_term_);
   Finish();
 }
