Count the log of a primary that is found demoted, and bound what a delta makes

Cause 1: a control leader that demoted a primary and died left its successor with a replica whose log did not count, so that an acknowledged commit only this one still had was lost. A primary that answers as a replica is now treated as demoted. Cause 2: a delta of few bytes could ask for copies of the old text without bound. Both tests failed before.

Whether a primary stays, what a cause suspects and how long the end of a log is awaited are policy now, with tests without a network. One thing, one name: confirming a leadership and confirming a primary, an order and a request. The two retries of a command share their timer.

--- a/base/src/compress.cc
+++ b/base/src/compress.cc
@@ -2,7 +2,7 @@
 
 #include <zlib.h>
 
-#include <algorithm>
+#include <new>
 
 namespace cardamomchute {
 namespace {
@@ -19,10 +19,11 @@
 std::string Compress(std::string_view bytes) {
   uLongf size = compressBound(static_cast<uLong>(bytes.size()));
   std::string out(size, 0);
-  // Cannot fail: the buffer is large enough, and the level is valid.
-  compress2(reinterpret_cast<Bytef*>(out.data()), &size,
-            reinterpret_cast<const Bytef*>(bytes.data()),
-            static_cast<uLong>(bytes.size()), Z_BEST_SPEED);
+  int state = compress2(reinterpret_cast<Bytef*>(out.data()), &size,
+                        reinterpret_cast<const Bytef*>(bytes.data()),
+                        static_cast<uLong>(bytes.size()), Z_BEST_SPEED);
+  // The buffer is large enough and the level valid: only memory can lack.
+  if (state != Z_OK) throw std::bad_alloc();
   out.resize(size);
   return out;
 }
--- a/fleet/include/cardamomchute/fleet/primary_replacement.h
+++ b/fleet/include/cardamomchute/fleet/primary_replacement.h
@@ -40,18 +40,6 @@
 using PromoteFunction = std::function<void(
     const PromoteRequest&, std::function<void(PromoteOutcome)>)>;
 
-/// Reason for checking a group's primary.
-enum class PrimaryReplacementCause : uint8_t {
-  kReview,   ///< announcements contradict each other
-  kConfirm,  ///< a new control leader does not know whether it is the only one
-  kTrouble,  ///< a relay cannot reach the primary
-  kStalled,  ///< the primary responds, but no write completes
-  kLeaving,  ///< the primary is about to shut down
-  kLagging   ///< no replica is fresh enough for reads
-};
-
-std::string_view ToString(PrimaryReplacementCause cause);
-
 struct PrimaryReplacementParams {
   boost::asio::any_io_executor executor;
   const EndpointProtocol* protocol = nullptr;
@@ -64,22 +52,22 @@
   /// Returns the group's current members without those lost permanently.
   std::function<std::vector<EndpointRecord>()> members;
   std::function<uint64_t()> next_token;
-  /// Whether this control leader has ordered nothing for the group since it
-  /// confirmed the primary, so that paused replicas may be resumed.
-  std::function<bool()> may_resume;
+  /// Whether this control leader has confirmed the primary and has sent no
+  /// request to promote since.
+  std::function<bool()> is_confirmed;
   /// Returns the time until which relays may use the former primary.
   std::function<Time()> leases_end;
   /// Returns the time until which an earlier control leader may send requests
   /// to promote; this one sends none before.
-  std::function<Time()> requests_from;
+  std::function<Time()> first_request_at;
   /// Runs its argument once a quorum has confirmed that this VM is the leader,
   /// with the time until which no other leader sends requests.
-  std::function<void(std::function<void(Time)>)> confirm;
+  std::function<void(std::function<void(Time)>)> confirm_leadership;
   PromoteFunction promote;
   /// Notes that a request to promote is about to be sent.
-  std::function<void()> ordered;
+  std::function<void()> on_request;
   /// Notes that the primary that `adopt` records is known to be the only one.
-  std::function<void()> confirmed;
+  std::function<void()> on_confirmed;
   /// Records the endpoint as primary in the given term.
   std::function<void(const EndpointId&, Term)> adopt;
   std::function<void()> done;
@@ -92,8 +80,8 @@
 
   void Start();
   void Stop();
-  /// Takes a relay's report on the primary into account: a run that has
-  /// another reason may then replace it, too.
+  /// Takes a relay's report on the primary into account: a check for another
+  /// reason may then replace it, too.
   void Suspect(PrimaryReplacementCause cause);
 
  private:
@@ -103,20 +91,14 @@
               std::function<void(Answers)> done);
   void Ask(const EndpointRecord& endpoint, const EndpointCommand& command,
            Time until, std::function<void(MemberStatus)> done);
-  void AskLater(const EndpointRecord& endpoint, const EndpointCommand& command,
-                Time until, std::function<void(MemberStatus)> done);
   void SendOn(const std::shared_ptr<CommandConnection>& connection,
               const EndpointRecord& endpoint, const EndpointCommand& command,
               Time until, std::function<void(MemberStatus)> done);
   void QueryStatus();
   void OnStatusAnswers(const Answers& answers);
-  /// Whether the cause is a reason to give up a primary that does not answer.
-  bool SuspectsPrimary() const;
-  bool ShouldKeep(const Answers& answers,
-                  const std::optional<MemberStatus>& leader) const;
   void Demote(const EndpointRecord& primary, Term term);
   void OnDemoted(const MemberStatus& answer);
-  Duration LogEndWait() const;
+  void RecordDemoted(const MemberStatus& answer);
   void Decide(const Answers& answers);
   void Keep(const Answers& answers, const MemberStatus& leader);
   void PauseAll(Term term);
@@ -127,6 +109,8 @@
   void Poll();
   void UsePrimary(Term term, bool former_follows);
   void AdoptChosen();
+  /// Runs `next` after kBusyRetryDelay, unless this was stopped.
+  void RetryLater(std::function<void()> next);
   void After(Duration pause, void (PrimaryReplacement::*next)());
   void Finish();
   void FinishUnlessSuspected();
@@ -139,13 +123,13 @@
   Time started_;
   bool stopped_ = false;
   bool suspected_again_ = false;  ///< a report came during the last query
-  std::optional<PromoteRequest> order_;
+  std::optional<PromoteRequest> request_;
   EndpointRecord chosen_;
   Time called_;
   FormerPrimary former_;
-  MemberStatus former_status_;  ///< its answer when it was demoted
+  MemberStatus former_status_;  ///< its answer as a replica
   bool demote_tried_ = false;
-  Time demoted_at_;
+  Time demoted_at_;  ///< when it was first seen as a replica
   Term chosen_term_;
 };
 
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -202,16 +202,16 @@
   params.next_token = [this] {
     return host_->quorum().vote.term.value() * kTokensPerTerm + ++tokens_;
   };
-  params.may_resume = [this, group] { return confirmed_.contains(group); };
+  params.is_confirmed = [this, group] { return confirmed_.contains(group); };
   params.leases_end = [this, group] { return LeasesEndOf(group); };
-  params.requests_from = [this] {
+  params.first_request_at = [this] {
     return params_.fencing ? Time() : leases_.InheritedEnd();
   };
-  params.confirm = [this](std::function<void(Time)> run) {
+  params.confirm_leadership = [this](std::function<void(Time)> run) {
     ConfirmAndRun(std::move(run));
   };
-  params.ordered = [this, group] { confirmed_.erase(group); };
-  params.confirmed = [this, group] { confirmed_.insert(group); };
+  params.on_request = [this, group] { confirmed_.erase(group); };
+  params.on_confirmed = [this, group] { confirmed_.insert(group); };
   params.promote = params_.promote;
   params.adopt = [this, group](const EndpointId& endpoint, Term term) {
     SetPrimary(group, endpoint, term);
--- a/fleet/src/messages.cc
+++ b/fleet/src/messages.cc
@@ -7,7 +7,7 @@
 
 /// Below this, compression saves less than it costs.
 constexpr size_t kCompressFromBytes = 1024;
-constexpr size_t kMaxMessageBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxMessageBytes = 16 * 1024 * 1024;
 
 }  // namespace
 
--- a/fleet/src/primary_replacement.cc
+++ b/fleet/src/primary_replacement.cc
@@ -19,33 +19,11 @@
 /// A promote request that had no effect is repeated with the same fence token
 /// after this long.
 constexpr Duration kPromoteRetryDelay = Millis(1500);
-/// Time that replicas get to receive the rest of a demoted primary's log. The
-/// log of a primary that leaves is lost with it.
-constexpr Duration kLogEndWaitLeaving = Seconds(2);
-constexpr Duration kLogEndWaitLagging = Millis(300);
 /// The replacement is abandoned after this long; a new one may then start.
 constexpr Duration kReplacementTimeout = Seconds(6);
 
 }  // namespace
 
-std::string_view ToString(PrimaryReplacementCause cause) {
-  switch (cause) {
-    case PrimaryReplacementCause::kReview:
-      return "review";
-    case PrimaryReplacementCause::kConfirm:
-      return "confirm";
-    case PrimaryReplacementCause::kTrouble:
-      return "trouble";
-    case PrimaryReplacementCause::kStalled:
-      return "stalled";
-    case PrimaryReplacementCause::kLeaving:
-      return "leaving";
-    case PrimaryReplacementCause::kLagging:
-      return "lagging";
-  }
-  return "review";
-}
-
 PrimaryReplacement::PrimaryReplacement(PrimaryReplacementParams params)
     : params_(std::move(params)), timer_(params_.executor), started_(Now()) {
   former_.endpoint = params_.primary;
@@ -67,17 +45,12 @@
   connections_.clear();
 }
 
-bool PrimaryReplacement::SuspectsPrimary() const {
-  return params_.cause != PrimaryReplacementCause::kLagging &&
-         params_.cause != PrimaryReplacementCause::kConfirm;
-}
-
 void PrimaryReplacement::FinishUnlessSuspected() {
   return std::exchange(suspected_again_, false) ? QueryStatus() : Finish();
 }
 
 void PrimaryReplacement::Suspect(PrimaryReplacementCause cause) {
-  if (SuspectsPrimary()) return;
+  if (SuspectsPrimary(params_.cause)) return;
   params_.cause = cause;
   suspected_again_ = true;
 }
@@ -117,37 +90,28 @@
         .Field("paused_below", answer.paused_below)
         .Field("lag_ms", answer.lag.ms());
   }
+  PrimaryCheck check;
+  check.primary = params_.primary;
+  check.cause = params_.cause;
+  check.lag_bound = params_.lag_bound;
+  check.request_sent = request_.has_value();
+  check.confirmed = params_.is_confirmed();
   std::optional<MemberStatus> leader = FindHighestTermPrimary(answers);
-  if (ShouldKeep(answers, leader)) return Keep(answers, *leader);
+  if (ShouldKeepPrimary(answers, check)) return Keep(answers, *leader);
   bool reachable = leader && leader->endpoint.id == params_.primary;
   if (reachable && !demote_tried_)
     return Demote(leader->endpoint, HighestTerm(answers).Next());
-  bool begun = demote_tried_ || order_ || AnyPaused(answers);
-  if (!SuspectsPrimary() && !leader && !begun)
+  // It may have been demoted by an earlier control leader.
+  for (const MemberStatus& answer : answers) {
+    bool follows = answer.answered && !answer.is_primary;
+    if (follows && answer.endpoint.id == params_.primary) RecordDemoted(answer);
+  }
+  bool begun = demote_tried_ || request_ || AnyPaused(answers);
+  if (!SuspectsPrimary(params_.cause) && !leader && !begun)
     return After(kStatusInterval, &PrimaryReplacement::FinishUnlessSuspected);
   Decide(answers);
 }
 
-bool PrimaryReplacement::ShouldKeep(
-    const Answers& answers, const std::optional<MemberStatus>& leader) const {
-  bool current = leader && leader->term >= HighestTerm(answers);
-  if (!current) return false;
-  if (leader->endpoint.id != params_.primary) return true;
-  // A request to promote may still take effect, and then without the commits
-  // that resumed replicas have acknowledged.
-  bool may_be_ordered = order_ || (AnyPaused(answers) && !params_.may_resume());
-  if (may_be_ordered) return false;
-  switch (params_.cause) {
-    case PrimaryReplacementCause::kStalled:
-    case PrimaryReplacementCause::kLeaving:
-      return false;
-    case PrimaryReplacementCause::kLagging:
-      return !ShouldReplaceForLag(answers, params_.primary, params_.lag_bound);
-    default:
-      return true;
-  }
-}
-
 /// Keeps the current primary. Demotes endpoints that still act as primary of an
 /// older term, and resumes paused replicas.
 void PrimaryReplacement::Keep(const Answers& answers,
@@ -169,7 +133,7 @@
   if (leader.endpoint.id == params_.primary) {
     // A primary that this leader confirmed earlier stays so: nobody else could
     // have replaced it.
-    if (ConfirmsPrimary(answers, params_.primary)) params_.confirmed();
+    if (ConfirmsPrimary(answers, params_.primary)) params_.on_confirmed();
     params_.adopt(leader.endpoint.id, leader.term);
     return After(kStatusInterval, &PrimaryReplacement::FinishUnlessSuspected);
   }
@@ -200,29 +164,19 @@
       .Field("endpoint", params_.primary)
       .Field("demoted", demoted)
       .Field("received", ToString(answer.received));
-  if (demoted) {
-    former_.log_end = answer.received;
-    former_status_ = answer;
-    demoted_at_ = Now();
-  }
+  if (demoted) RecordDemoted(answer);
   QueryStatus();
 }
 
-Duration PrimaryReplacement::LogEndWait() const {
-  switch (params_.cause) {
-    case PrimaryReplacementCause::kLeaving:
-      return kLogEndWaitLeaving;
-    case PrimaryReplacementCause::kStalled:
-      // Replicas that could receive more would have acknowledged a write.
-      return Duration();
-    default:
-      return kLogEndWaitLagging;
-  }
+void PrimaryReplacement::RecordDemoted(const MemberStatus& answer) {
+  if (!former_.log_end) demoted_at_ = Now();
+  former_.log_end = answer.received;
+  former_status_ = answer;
 }
 
 void PrimaryReplacement::Decide(const Answers& answers) {
   former_.wait_for_log_end =
-      former_.log_end && Now() < demoted_at_ + LogEndWait();
+      former_.log_end && Now() < demoted_at_ + LogEndWait(params_.cause);
   ReplacementDecision verdict = NextReplacementStep(answers, former_);
   switch (verdict.step) {
     case ReplacementStep::kPause:
@@ -240,7 +194,7 @@
 void PrimaryReplacement::PauseAll(Term term) {
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
   AskAll(CommandKind::kPause, term, false, [self](Answers answers) {
-    // The old primary was not asked, as it may not respond.
+    // The old primary was not paused, as it may not respond.
     for (const EndpointRecord& member : self->params_.members()) {
       if (member.id != self->params_.primary) continue;
       self->former_status_.endpoint = member;
@@ -255,50 +209,50 @@
   const EndpointRecord* record = Find(members, endpoint);
   if (record == nullptr)
     return After(kStatusInterval, &PrimaryReplacement::QueryStatus);
-  bool same = order_ && order_->endpoint == endpoint;
+  bool same = request_ && request_->endpoint == endpoint;
   chosen_ = *record;
   if (!same) {
-    order_ = PromoteRequest{params_.group, endpoint, params_.holder,
-                            params_.next_token(), Time()};
+    request_ = PromoteRequest{params_.group, endpoint, params_.holder,
+                              params_.next_token(), Time()};
   }
   ConfirmAndCall();
 }
 
 void PrimaryReplacement::ConfirmAndCall() {
-  Duration wait = params_.requests_from() - Now();
+  Duration wait = params_.first_request_at() - Now();
   if (wait > Duration()) return After(wait, &PrimaryReplacement::QueryStatus);
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
-  params_.confirm([self](Time send_before) {
-    if (!self->stopped_ && self->order_) self->CallPromote(send_before);
+  params_.confirm_leadership([self](Time send_before) {
+    if (!self->stopped_ && self->request_) self->CallPromote(send_before);
   });
 }
 
 void PrimaryReplacement::CallPromote(Time send_before) {
   called_ = Now();
-  order_->send_before = send_before;
-  params_.ordered();
+  request_->send_before = send_before;
+  params_.on_request();
   LogLine(LogLevel::kInfo, "promote")
-      .Field("group", order_->group)
-      .Field("endpoint", order_->endpoint)
-      .Field("token", order_->fence_token);
+      .Field("group", request_->group)
+      .Field("endpoint", request_->endpoint)
+      .Field("token", request_->fence_token);
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
-  params_.promote(*order_, [self](PromoteOutcome outcome) {
+  params_.promote(*request_, [self](PromoteOutcome outcome) {
     if (!self->stopped_) self->OnPromoteOutcome(outcome);
   });
   After(kPollInterval, &PrimaryReplacement::Poll);
 }
 
 void PrimaryReplacement::OnPromoteOutcome(PromoteOutcome outcome) {
-  if (!order_) return;
+  if (!request_) return;
   LogLine(LogLevel::kInfo, "promote_answered")
-      .Field("group", order_->group)
-      .Field("endpoint", order_->endpoint)
+      .Field("group", request_->group)
+      .Field("endpoint", request_->endpoint)
       .Field("outcome", static_cast<int>(outcome));
   bool no_effect = outcome == PromoteOutcome::kRefused ||
                    outcome == PromoteOutcome::kNotSent;
   if (!no_effect) return;
   // The next attempt chooses an endpoint again and uses a new fence token.
-  order_.reset();
+  request_.reset();
   timer_.cancel();
   After(kStatusInterval, &PrimaryReplacement::QueryStatus);
 }
@@ -309,7 +263,7 @@
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
   Ask(chosen_, {.kind = CommandKind::kStatus}, now + kAskTimeout,
       [self](const MemberStatus& answer) {
-        if (self->stopped_ || !self->order_) return;
+        if (self->stopped_ || !self->request_) return;
         if (answer.answered && answer.is_primary)
           return self->UsePrimary(answer.term,
                                   self->former_.log_end.has_value());
@@ -347,7 +301,7 @@
 }
 
 void PrimaryReplacement::AdoptChosen() {
-  params_.confirmed();
+  params_.on_confirmed();
   params_.adopt(chosen_.id, chosen_term_);
   Finish();
 }
--- a/fleet/src/primary_replacement_commands.cc
+++ b/fleet/src/primary_replacement_commands.cc
@@ -59,8 +59,11 @@
         if (outcome == StatementStatus::kDone)
           return self->SendOn(connection, endpoint, command, until, done);
         bool full = outcome == StatementStatus::kTooManyConnections;
-        if (full && Now() + kBusyRetryDelay < until)
-          return self->AskLater(endpoint, command, until, done);
+        if (full && Now() + kBusyRetryDelay < until) {
+          return self->RetryLater([self, endpoint, command, until, done] {
+            self->Ask(endpoint, command, until, done);
+          });
+        }
         LogLine(LogLevel::kInfo, "succession_unreachable")
             .Field("endpoint", endpoint.id)
             .Field("outcome", ToString(outcome));
@@ -68,17 +71,15 @@
       });
 }
 
-void PrimaryReplacement::AskLater(const EndpointRecord& endpoint,
-                                  const EndpointCommand& command, Time until,
-                                  std::function<void(MemberStatus)> done) {
+void PrimaryReplacement::RetryLater(std::function<void()> next) {
   std::shared_ptr<asio::steady_timer> pause =
       std::make_shared<asio::steady_timer>(params_.executor);
   pause->expires_after(std::chrono::milliseconds(kBusyRetryDelay.ms()));
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
-  pause->async_wait([self, endpoint, command, until, done = std::move(done),
-                     pause](boost::system::error_code) {
-    if (!self->stopped_) self->Ask(endpoint, command, until, done);
-  });
+  pause->async_wait(
+      [self, next = std::move(next), pause](boost::system::error_code) {
+        if (!self->stopped_) next();
+      });
 }
 
 void PrimaryReplacement::SendOn(
@@ -117,16 +118,12 @@
     if (answer.outcome == StatementStatus::kBusy &&
         Now() + kBusyRetryDelay < until) {
       // Nothing was executed: repeat on the same connection.
-      std::shared_ptr<asio::steady_timer> pause =
-          std::make_shared<asio::steady_timer>(self->params_.executor);
-      pause->expires_after(std::chrono::milliseconds(kBusyRetryDelay.ms()));
-      pause->async_wait([self, connection, endpoint, command, until, finish,
-                         pause](boost::system::error_code) {
-        if (self->stopped_ || !connection->open())
-          return finish(MemberStatus{.endpoint = endpoint});
-        self->SendOn(connection, endpoint, command, until, finish);
-      });
-      return;
+      return self->RetryLater(
+          [self, connection, endpoint, command, until, finish] {
+            if (!connection->open())
+              return finish(MemberStatus{.endpoint = endpoint});
+            self->SendOn(connection, endpoint, command, until, finish);
+          });
     }
     if (answer.outcome != StatementStatus::kDone || answer.rows.empty())
       return finish(out);
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -540,6 +540,60 @@
   BOOST_TEST((relay.lease.until < lost + kPrimaryLease + Millis(1)));
 }
 
+/// A control leader that has confirmed a primary need not reach a replica
+/// again: only that leader could have replaced it.
+BOOST_AUTO_TEST_CASE(a_confirmed_primary_is_leased_again_without_its_replicas) {
+  Succession s;
+  auto leased = [&] {
+    s.listener->RenewLease();
+    return s.listener->HasLease("g1-0");
+  };
+  BOOST_REQUIRE(s.cluster.RunUntil(leased));
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.group.member(1).silent = true;
+  s.group.member(2).silent = true;
+  s.Complain(EndpointProblem::kSilent);
+  // No lease is granted while the primary is in doubt.
+  BOOST_TEST(s.cluster.RunUntil([&] { return !leased(); }, Seconds(3)));
+  BOOST_TEST(s.cluster.RunUntil(leased));
+}
+
+/// An earlier control leader demoted the primary and died. The replicas that it
+/// knew lack a commit that another one acknowledged.
+BOOST_AUTO_TEST_CASE(the_log_of_a_primary_that_is_found_demoted_counts) {
+  Succession s(4);
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.group.member(1).cut_off = true;
+  s.group.member(2).cut_off = true;
+  BOOST_REQUIRE(s.group.Commit("k", "kept"));
+  s.group.member(0).is_primary = false;
+  s.Complain(EndpointProblem::kNotPrimary);
+  BOOST_TEST(s.cluster.RunUntil([&] { return !s.cluster.orders.empty(); }));
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.group.member(0).is_primary; }));
+  BOOST_TEST(s.group.CountOf("kept") == 1u);
+}
+
+/// After a loss of power each file may be kept or lost on its own.
+BOOST_AUTO_TEST_CASE(a_member_that_kept_only_the_relays_joins_again) {
+  FleetControllerCluster cluster(5);
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  {
+    Listener listener(&cluster, "relay-a", 0);
+    BOOST_REQUIRE(cluster.RunUntil([&] { return listener.version == 1; }));
+    cluster.RunUntil([] { return false; }, Seconds(7));
+  }
+  size_t lost = (*cluster.Leader() + 1) % 5;
+  cluster.Stop(lost);
+  for (const std::filesystem::directory_entry& file :
+       std::filesystem::directory_iterator(cluster.FolderOf(lost))) {
+    if (file.path().filename() != "relays") std::filesystem::remove(file);
+  }
+  BOOST_REQUIRE(std::filesystem::exists(cluster.FolderOf(lost) / "relays"));
+  cluster.Start(lost, false);
+  BOOST_TEST(cluster.RunUntil(
+      [&] { return cluster.At(lost)->layout_version() == 1; }));
+}
+
 /// The replicas are paused before a request to promote is sent: a leader that
 /// finds them paused cannot know whether the request of an earlier one will
 /// still take effect.
--- a/policy/include/cardamomchute/policy/primary_replacement.h
+++ b/policy/include/cardamomchute/policy/primary_replacement.h
@@ -11,6 +11,7 @@
 #define CARDAMOMCHUTE_POLICY_PRIMARY_REPLACEMENT_H_
 
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "cardamomchute/base/ids.h"
@@ -29,6 +30,38 @@
   Duration lag;  ///< delay from receiving data until its reads see it
 };
 
+/// Reason for checking a group's primary.
+enum class PrimaryReplacementCause : uint8_t {
+  kReview,   ///< announcements contradict each other
+  kConfirm,  ///< a new control leader does not know whether it is the only one
+  kTrouble,  ///< a relay cannot reach the primary
+  kStalled,  ///< the primary responds, but no write completes
+  kLeaving,  ///< the primary is about to shut down
+  kLagging   ///< no replica is fresh enough for reads
+};
+
+std::string_view ToString(PrimaryReplacementCause cause);
+
+/// Whether the cause is a reason to replace a primary that does not answer.
+bool SuspectsPrimary(PrimaryReplacementCause cause);
+
+/// Returns how long replicas get to receive the rest of a demoted primary's
+/// log.
+Duration LogEndWait(PrimaryReplacementCause cause);
+
+/// What a control leader knows when it checks a group's primary.
+struct PrimaryCheck {
+  EndpointId primary;  ///< empty if unknown
+  PrimaryReplacementCause cause = PrimaryReplacementCause::kReview;
+  /// kLagging: a replica with a higher lag can serve almost no reads.
+  Duration lag_bound;
+  /// A request to promote was sent, and may still take effect.
+  bool request_sent = false;
+  /// The leader confirmed the primary earlier and has sent no request since, so
+  /// that replicas which are paused may be resumed.
+  bool confirmed = false;
+};
+
 enum class ReplacementStep : uint8_t {
   kKeep,     ///< no change is needed
   kAdopt,    ///< `endpoint` is already primary; record it
@@ -67,7 +100,7 @@
                                         const FormerPrimary& former);
 
 /// Whether any endpoint refuses to receive from the primary of the highest
-/// term, so that an order to promote may be outstanding.
+/// term, so that a request to promote may be outstanding.
 bool AnyPaused(const std::vector<MemberStatus>& all);
 
 /// Whether the answers show that `primary` is its group's only primary, and
@@ -76,6 +109,10 @@
 bool ConfirmsPrimary(const std::vector<MemberStatus>& all,
                      const EndpointId& primary);
 
+/// Whether the primary of the highest term stays.
+bool ShouldKeepPrimary(const std::vector<MemberStatus>& all,
+                       const PrimaryCheck& check);
+
 /// Whether the primary should be replaced because no replica is fresh enough
 /// for reads: every replica that is not leaving lags more than `bound`, and one
 /// of them has received nearly everything. The former primary has no lag and
--- a/policy/include/cardamomchute/policy/text_delta.h
+++ b/policy/include/cardamomchute/policy/text_delta.h
@@ -3,6 +3,7 @@
 #ifndef CARDAMOMCHUTE_POLICY_TEXT_DELTA_H_
 #define CARDAMOMCHUTE_POLICY_TEXT_DELTA_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,11 +28,16 @@
   MSGPACK_DEFINE(parts, size)
 };
 
+/// Longer texts are refused: a short delta can ask for many copies of the old
+/// text.
+inline constexpr size_t kMaxDeltaTextBytes = 16 * 1024 * 1024;
+
 /// Returns what turns `from` into `to`. Both are compared in pieces that end
 /// with '}', so a piece may have moved.
 TextDelta MakeTextDelta(std::string_view from, std::string_view to);
 
-/// Returns the new text, or nothing if `delta` does not fit `from`.
+/// Returns the new text, or nothing if `delta` does not fit `from` or the text
+/// is too long.
 std::optional<std::string> ApplyTextDelta(std::string_view from,
                                           const TextDelta& delta);
 
--- a/policy/src/primary_replacement.cc
+++ b/policy/src/primary_replacement.cc
@@ -9,9 +9,47 @@
 /// Log positions by which a replica that is still receiving may trail the
 /// primary.
 constexpr uint64_t kMaxCommitsInFlight = 20;
+/// The log of a primary that leaves is lost with it.
+constexpr Duration kLogEndWaitLeaving = Seconds(2);
+constexpr Duration kLogEndWait = Millis(300);
 
 }  // namespace
 
+std::string_view ToString(PrimaryReplacementCause cause) {
+  switch (cause) {
+    case PrimaryReplacementCause::kReview:
+      return "review";
+    case PrimaryReplacementCause::kConfirm:
+      return "confirm";
+    case PrimaryReplacementCause::kTrouble:
+      return "trouble";
+    case PrimaryReplacementCause::kStalled:
+      return "stalled";
+    case PrimaryReplacementCause::kLeaving:
+      return "leaving";
+    case PrimaryReplacementCause::kLagging:
+      return "lagging";
+  }
+  return "review";
+}
+
+bool SuspectsPrimary(PrimaryReplacementCause cause) {
+  return cause != PrimaryReplacementCause::kLagging &&
+         cause != PrimaryReplacementCause::kConfirm;
+}
+
+Duration LogEndWait(PrimaryReplacementCause cause) {
+  switch (cause) {
+    case PrimaryReplacementCause::kLeaving:
+      return kLogEndWaitLeaving;
+    case PrimaryReplacementCause::kStalled:
+      // A replica that could receive more would have had a write acknowledged.
+      return Duration();
+    default:
+      return kLogEndWait;
+  }
+}
+
 std::optional<MemberStatus> FindHighestTermPrimary(
     const std::vector<MemberStatus>& all) {
   std::optional<MemberStatus> leader;
@@ -104,6 +142,28 @@
                      });
 }
 
+bool ShouldKeepPrimary(const std::vector<MemberStatus>& all,
+                       const PrimaryCheck& check) {
+  std::optional<MemberStatus> leader = FindHighestTermPrimary(all);
+  bool current = leader && leader->term >= HighestTerm(all);
+  if (!current) return false;
+  if (leader->endpoint.id != check.primary) return true;
+  // A request to promote may still take effect, and then without the commits
+  // that resumed replicas have acknowledged.
+  bool may_be_replaced =
+      check.request_sent || (AnyPaused(all) && !check.confirmed);
+  if (may_be_replaced) return false;
+  switch (check.cause) {
+    case PrimaryReplacementCause::kStalled:
+    case PrimaryReplacementCause::kLeaving:
+      return false;
+    case PrimaryReplacementCause::kLagging:
+      return !ShouldReplaceForLag(all, check.primary, check.lag_bound);
+    default:
+      return true;
+  }
+}
+
 bool ShouldReplaceForLag(const std::vector<MemberStatus>& all,
                          const EndpointId& primary, Duration bound) {
   std::optional<MemberStatus> leader = FindHighestTermPrimary(all);
--- a/policy/src/text_delta.cc
+++ b/policy/src/text_delta.cc
@@ -43,6 +43,7 @@
 
 std::optional<std::string> ApplyTextDelta(std::string_view from,
                                           const TextDelta& delta) {
+  if (delta.size > kMaxDeltaTextBytes) return std::nullopt;
   std::string text;
   for (const TextDeltaPart& part : delta.parts) {
     bool fits =
--- a/policy/test/primary_replacement-test.cc
+++ b/policy/test/primary_replacement-test.cc
@@ -143,6 +143,74 @@
   BOOST_TEST(!AnyPaused({Member("p", true, 1, 9, 0), Unreachable("a")}));
 }
 
+PrimaryCheck Check(PrimaryReplacementCause cause) {
+  PrimaryCheck check;
+  check.primary = kPrimary;
+  check.cause = cause;
+  check.lag_bound = Millis(1500);
+  return check;
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_answers_stays_unless_the_cause_needs_more) {
+  std::vector<MemberStatus> all = {Member("p", true, 1, 9, 0),
+                                   Member("a", false, 1, 9, 0)};
+  using Cause = PrimaryReplacementCause;
+  for (Cause cause :
+       {Cause::kReview, Cause::kConfirm, Cause::kTrouble, Cause::kLagging})
+    BOOST_TEST(ShouldKeepPrimary(all, Check(cause)));
+  BOOST_TEST(!ShouldKeepPrimary(all, Check(Cause::kStalled)));
+  BOOST_TEST(!ShouldKeepPrimary(all, Check(Cause::kLeaving)));
+  all[1].lag = Millis(4000);
+  BOOST_TEST(!ShouldKeepPrimary(all, Check(Cause::kLagging)));
+  all[0] = Unreachable("p");
+  BOOST_TEST(!ShouldKeepPrimary(all, Check(Cause::kConfirm)));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_does_not_stay_while_a_request_may_take_effect) {
+  std::vector<MemberStatus> all = {Member("p", true, 1, 9, 0),
+                                   Member("a", false, 1, 9, 2)};
+  PrimaryCheck check = Check(PrimaryReplacementCause::kTrouble);
+  // An earlier control leader may have sent one.
+  BOOST_TEST(!ShouldKeepPrimary(all, check));
+  check.confirmed = true;
+  BOOST_TEST(ShouldKeepPrimary(all, check));
+  check.request_sent = true;
+  BOOST_TEST(!ShouldKeepPrimary(all, check));
+  // Another endpoint has become primary meanwhile.
+  all[1] = Member("a", true, 2, 9, 0);
+  BOOST_TEST(ShouldKeepPrimary(all, check));
+}
+
+BOOST_AUTO_TEST_CASE(only_some_causes_give_up_a_primary_that_does_not_answer) {
+  using Cause = PrimaryReplacementCause;
+  for (Cause cause :
+       {Cause::kReview, Cause::kTrouble, Cause::kStalled, Cause::kLeaving})
+    BOOST_TEST(SuspectsPrimary(cause));
+  BOOST_TEST(!SuspectsPrimary(Cause::kConfirm));
+  BOOST_TEST(!SuspectsPrimary(Cause::kLagging));
+}
+
+/// The log of a primary that leaves is lost with it; one whose writes stall has
+/// a log that nobody receives.
+BOOST_AUTO_TEST_CASE(the_wait_for_the_log_end_depends_on_the_cause) {
+  using Cause = PrimaryReplacementCause;
+  BOOST_TEST((LogEndWait(Cause::kLeaving) > LogEndWait(Cause::kLagging)));
+  BOOST_TEST((LogEndWait(Cause::kLagging) > Duration()));
+  BOOST_TEST((LogEndWait(Cause::kStalled) == Duration()));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_is_confirmed_by_itself_and_one_replica) {
+  MemberStatus p = Member("p", true, 2, 9, 0);
+  MemberStatus a = Member("a", false, 2, 9, 0);
+  BOOST_TEST(ConfirmsPrimary({p, a, Unreachable("b")}, kPrimary));
+  BOOST_TEST(ConfirmsPrimary({p}, kPrimary));
+  BOOST_TEST(!ConfirmsPrimary({p, Unreachable("a")}, kPrimary));
+  BOOST_TEST(!ConfirmsPrimary({Unreachable("p"), a}, kPrimary));
+  BOOST_TEST(!ConfirmsPrimary({p, Member("a", false, 2, 9, 3)}, kPrimary));
+  BOOST_TEST(!ConfirmsPrimary({p, Member("a", true, 3, 9, 0)}, kPrimary));
+  BOOST_TEST(!ConfirmsPrimary({p, Member("a", false, 3, 9, 0)}, kPrimary));
+}
+
 BOOST_AUTO_TEST_CASE(a_late_promotion_is_adopted) {
   ReplacementDecision verdict =
       NextReplacementStep({Unreachable("p"), Member("a", true, 2, 9, 0),
--- a/policy/test/text_delta-test.cc
+++ b/policy/test/text_delta-test.cc
@@ -59,6 +59,17 @@
   BOOST_TEST(!ApplyTextDelta("abc", {{{2, UINT64_MAX, ""}}, 1}));
 }
 
+/// Few bytes of a delta can ask for many copies of the old text.
+BOOST_AUTO_TEST_CASE(a_delta_to_an_oversized_text_is_refused) {
+  std::string from(1 << 20, 'x');
+  TextDelta delta;
+  for (int i = 0; i < 100; ++i) {
+    delta.parts.push_back({0, from.size(), ""});
+    delta.size += from.size();
+  }
+  BOOST_TEST(!ApplyTextDelta(from, delta));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
