--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -93,7 +93,7 @@
   struct ConnectedRelay {
     LinkPtr link;
     uint64_t layout_version = 0;  ///< last one that was sent to it
-    bool greeted = false;         ///< has got the directory
+    bool has_directory = false;   ///< was sent the directory
     bool takes_changes = false;   ///< see RelayReport
   };
   /// A relay that connected while no leader was known.
@@ -117,7 +117,7 @@
   void SendToLeader(const FleetMessage& message);
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
-  void GreetRelays();
+  void SendDirectoryToNewRelays();
   /// Returns the message for relays of this and of older releases.
   static const std::string& PackedFor(const ConnectedRelay& relay,
                                       const FleetMessage& message,
@@ -125,7 +125,7 @@
   void Flush();
   void PushLayout(Time now);
   void SendFarewells();
-  void CallRelays(Time now);
+  void NotifyFormerRelays(Time now);
   void LoadDirectory();
   void SaveDirectory(Time now);
   DirectoryPush BarePush() const;
@@ -173,9 +173,9 @@
   /// Relays that were known before this process started. They may be looking
   /// for control, and know only the seeds.
   std::vector<Address> former_relays_;
-  /// Links on which those were called, closed after a while.
-  std::vector<LinkPtr> calls_;
-  Time calls_end_;
+  /// Links on which they are told where control is, closed after a while.
+  std::vector<LinkPtr> notices_;
+  Time notices_end_;
   Time next_cache_;
   bool cache_due_ = false;
   uint64_t changes_ = 0;  ///< primary changes in this control term
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -75,8 +75,8 @@
   successions_.clear();
   relays_.clear();
   waiting_.clear();
-  for (const LinkPtr& link : calls_) link->Close();
-  calls_.clear();
+  for (const LinkPtr& link : notices_) link->Close();
+  notices_.clear();
 }
 
 void FleetController::SetSeeds(const std::vector<Address>& seeds) {
@@ -322,7 +322,7 @@
   bool has_leader_contact = host_->HasLeaderContact(now);
   if (!has_leader_contact && !out_of_touch_) SendFarewells();
   ServeWaiting(now, has_leader_contact);
-  if (has_leader_contact) CallRelays(now);
+  if (has_leader_contact) NotifyFormerRelays(now);
   out_of_touch_ = !has_leader_contact;
   DirectoryDelta expired = Expire(directory_, now);
   to_relays_.relays.insert(to_relays_.relays.end(), expired.relays.begin(),
@@ -339,7 +339,8 @@
 
 /// Restores the announcements from before a restart, used until the endpoints
 /// announce themselves again. Stale entries are harmless: an endpoint rejects
-/// connections meant for another one, and writes if it is not the primary.
+/// connections meant for another one, and writes if it is not the primary; and
+/// a primary is confirmed before relays get leases on it.
 void FleetController::LoadDirectory() {
   std::optional<std::string> relays =
       ReadRecordFile(params_.data_folder / kRelaysFile);
--- a/fleet/src/fleet_controller_relays.cc
+++ b/fleet/src/fleet_controller_relays.cc
@@ -16,9 +16,9 @@
 /// A relay that connects while no leader is known is kept this long before it
 /// is sent to another member.
 constexpr Duration kWaitForLeader = Millis(600);
-/// Members that call each former relay, as some may not be back yet.
-constexpr size_t kCallsPerRelay = 3;
-constexpr Duration kCallTimeout = Millis(500);
+/// Control members that notify each former relay, as some may not be back yet.
+constexpr size_t kNoticesPerRelay = 3;
+constexpr Duration kNoticeTimeout = Millis(500);
 
 }  // namespace
 
@@ -85,9 +85,10 @@
 
 /// Sends the whole directory to relays that have connected since the last call:
 /// after a restart many do, and one message serves them all.
-void FleetController::GreetRelays() {
-  bool any = std::any_of(relays_.begin(), relays_.end(),
-                         [](const auto& item) { return !item.second.greeted; });
+void FleetController::SendDirectoryToNewRelays() {
+  bool any = std::any_of(relays_.begin(), relays_.end(), [](const auto& item) {
+    return !item.second.has_directory;
+  });
   if (!any) return;
   std::string bare = PackFleetMessage(BarePush());
   DirectoryPush known = BarePush();
@@ -97,7 +98,7 @@
   std::map<bool, std::string> packed;
   std::map<bool, std::string> packed_with_layout;
   for (auto& [key, relay] : relays_) {
-    if (std::exchange(relay.greeted, true)) continue;
+    if (std::exchange(relay.has_directory, true)) continue;
     // A link accepts only a short frame first.
     relay.link->Send(FrameType::kControl, bare);
     bool needs_layout = layout_.version > relay.layout_version;
@@ -117,11 +118,11 @@
     std::map<bool, std::string> packed;
     for (const auto& [key, relay] : relays_) {
       // Others get the whole directory below.
-      if (!relay.greeted) continue;
+      if (!relay.has_directory) continue;
       relay.link->Send(FrameType::kControl, PackedFor(relay, push, &packed));
     }
   }
-  GreetRelays();
+  SendDirectoryToNewRelays();
   PushLayout(Now());
   if (to_members_.Empty()) return;
   DirectoryPush push;
@@ -167,10 +168,10 @@
 
 /// Tells relays from before a restart where control is. Only after a restart of
 /// all members: others send a restarted one the directory, with the relays.
-void FleetController::CallRelays(Time now) {
-  if (!calls_.empty() && now >= calls_end_) {
-    for (const LinkPtr& link : calls_) link->Close();
-    calls_.clear();
+void FleetController::NotifyFormerRelays(Time now) {
+  if (!notices_.empty() && now >= notices_end_) {
+    for (const LinkPtr& link : notices_) link->Close();
+    notices_.clear();
   }
   std::vector<Address> relays = std::exchange(former_relays_, {});
   if (relays.empty() || !directory_.relays.empty()) return;
@@ -181,28 +182,33 @@
   size_t rank = static_cast<size_t>(std::distance(members.begin(), self));
   ControlHint hint{BarePush().members};
   std::string message = PackVariant(RelayMessage(hint));
-  calls_end_ = now + kCallTimeout;
-  size_t called = 0;
+  notices_end_ = now + kNoticeTimeout;
+  size_t notified = 0;
   for (size_t i = 0; i < relays.size(); ++i) {
     size_t distance =
         (rank + members.size() - i % members.size()) % members.size();
-    if (distance >= kCallsPerRelay) continue;
-    ++called;
-    ConnectLink(params_.io->get_executor(), relays[i], kCallTimeout,
-                [this, message, alive = std::weak_ptr<QuorumHost>(host_)](
-                    const LinkPtr& link) {
-                  std::shared_ptr<QuorumHost> host = alive.lock();
-                  if (!link) return;
-                  if (!host || host->stopped()) return link->Close();
-                  link->Start([](FrameType, std::string_view) {},
-                              [](const std::string&) {});
-                  link->Send(FrameType::kRelay, message);
-                  calls_.push_back(link);
-                  calls_end_ = Now() + kCallTimeout;
-                });
+    if (distance >= kNoticesPerRelay) continue;
+    ++notified;
+    ConnectLink(
+        params_.io->get_executor(), relays[i], kNoticeTimeout,
+        [this, message, address = relays[i],
+         alive = std::weak_ptr<QuorumHost>(host_)](const LinkPtr& link) {
+          std::shared_ptr<QuorumHost> host = alive.lock();
+          if (!link) {
+            LogLine(LogLevel::kDebug, "former_relay_unreachable")
+                .Field("relay", ToString(address));
+            return;
+          }
+          if (!host || host->stopped()) return link->Close();
+          link->Start([](FrameType, std::string_view) {},
+                      [](const std::string&) {});
+          link->Send(FrameType::kRelay, message);
+          notices_.push_back(link);
+          notices_end_ = Now() + kNoticeTimeout;
+        });
   }
-  LogLine(LogLevel::kInfo, "relays_called")
-      .Field("called", called)
+  LogLine(LogLevel::kInfo, "former_relays_notified")
+      .Field("notified", notified)
       .Field("known", relays.size());
 }
 
--- a/fleet/src/primary_lease_server.cc
+++ b/fleet/src/primary_lease_server.cc
@@ -31,7 +31,8 @@
   std::optional<GrantableLeases> available = Available(now);
   bool renew = !available || available->until - now < kLeaseRenewal;
   if (renew) AskLeader(now);
-  // What was delegated may predate a change of primary.
+  // What was delegated may predate a change of primary: then the leader is
+  // asked again.
   if (available && Names(*available, request.groups))
     return Answer(request, *available, reply);
   std::erase_if(waiting_, [now](const Waiting& waiting) {
@@ -73,7 +74,7 @@
 }
 
 void PrimaryLeaseServer::OnGrantableAnswer(const GrantableAnswer& answer) {
-  // The time of an earlier request is not known any more.
+  // The send time of an earlier request is not kept.
   if (answer.grant.number != number_) return;
   delegated_.until = asked_ + answer.grant.valid;
   delegated_.primaries = answer.grant.primaries;
@@ -84,8 +85,7 @@
 
 void PrimaryLeaseServer::OnLeadershipChange(bool is_leader) {
   if (is_leader) BeginLeadership(ledger_, Now());
-  // What another leader delegated ends by itself; nothing is granted on it
-  // beside what this leader grants.
+  // A leader grants by its own confirmations only.
   delegated_ = GrantableLeases();
   waiting_.clear();
 }
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -225,7 +225,7 @@
 
 /// After a restart of all machines a relay knows only the seeds, and these may
 /// come back last.
-BOOST_AUTO_TEST_CASE(stewards_call_the_relays_after_a_restart_of_all) {
+BOOST_AUTO_TEST_CASE(relays_are_told_of_control_after_a_restart_of_all) {
   FleetControllerCluster cluster(5);
   Address peers{"127.0.0.90", cluster.AddressOf(0).port};
   size_t hints = 0;
--- a/policy/src/holders.cc
+++ b/policy/src/holders.cc
@@ -22,7 +22,8 @@
   return hash ^ (hash >> 33);
 }
 
-/// A relay as a holder of one endpoint; the smallest is the best.
+/// A relay as a holder of one endpoint; the smallest is the best. Its weight is
+/// a rendezvous hash (FNV-1a with a final mix), equal on every VM.
 struct Candidate {
   bool far = false;
   uint32_t endpoints = 0;  ///< that it holds already
--- a/policy/src/quorum.cc
+++ b/policy/src/quorum.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "quorum_log.h"
+
 namespace cardamomchute {
 namespace {
 
@@ -30,11 +32,6 @@
   return LogIndex(index.value() == 0 ? 0 : index.value() - 1);
 }
 
-/// Returns the offset in `log` of the first entry after `index`.
-size_t OffsetAfter(const QuorumState& state, LogIndex index) {
-  return index.value() - state.snapshot.last_index.value();
-}
-
 void FindConfig(QuorumState& state) {
   for (auto it = state.log.rbegin(); it != state.log.rend(); ++it) {
     if (it->kind != EntryKind::kConfig) continue;
@@ -571,33 +568,4 @@
   return std::exchange(state.output, QuorumOutput());
 }
 
-bool CaughtUp(const QuorumState& state, const MemberId& id, Time now) {
-  auto it = state.progress.find(id);
-  if (it == state.progress.end()) return false;
-  bool recent = now - it->second.last_answer < state.timing.election_min;
-  return recent && it->second.match >= state.commit;
-}
-
-LogIndex LastIndex(const QuorumState& state) {
-  return LogIndex(state.snapshot.last_index.value() + state.log.size());
-}
-
-std::optional<QuorumTerm> TermAt(const QuorumState& state, LogIndex index) {
-  if (index == state.snapshot.last_index) return state.snapshot.last_term;
-  if (index < state.snapshot.last_index) return std::nullopt;
-  if (index > LastIndex(state)) return std::nullopt;
-  return state.log[OffsetAfter(state, index) - 1].term;
-}
-
-bool IsVoter(const QuorumConfig& config, const MemberId& id) {
-  auto it = config.members.find(id);
-  return it != config.members.end() && it->second.voter;
-}
-
-size_t VoterCount(const QuorumConfig& config) {
-  return static_cast<size_t>(
-      std::count_if(config.members.begin(), config.members.end(),
-                    [](const auto& item) { return item.second.voter; }));
-}
-
 }  // namespace cardamomchute
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -153,8 +153,9 @@
   return !held || !held->busy;
 }
 
-/// Returns whether a read that needs the primary may run here at `now`. What
-/// its route allows to be missing may have been committed after the lease.
+/// Returns whether a statement may run here at `now`. A read at the primary
+/// needs a lease; if its route allows stale data, the lease may have ended as
+/// long ago.
 bool EndpointPool::LeaseAllows(const Job& job, Time now) {
   const RunRequest& request = job.request;
   bool in_plain = request.step == RunStep::kNext && !request.read_only;
--- a/relay/src/endpoint_pool_connections.cc
+++ b/relay/src/endpoint_pool_connections.cc
@@ -9,7 +9,7 @@
 namespace cardamomchute {
 
 void EndpointPool::Grow() {
-  // Idle ones that do not help are waiting for a lease.
+  // Statements that wait beside idle connections lack a lease.
   size_t idle = static_cast<size_t>(
       std::count_if(held_.begin(), held_.end(), [](const HeldPtr& held) {
         return held->ready && !held->busy && !held->pinned;
--- a/relay/src/pool_timing.h
+++ b/relay/src/pool_timing.h
@@ -16,9 +16,9 @@
 /// Connections opened ahead in addition to one per slot.
 inline constexpr size_t kWarmSpare = 1;
 
-/// A connection beyond those is closed after this long without use. What a VM
-/// held open when it lost power counts against the endpoint's limit for
-/// seconds, so that its successor may be refused.
+/// A connection beyond the slots and the spare is closed after this long
+/// without use. The connections of a VM that lost power count against the
+/// endpoint's limit for seconds, so that the next holder may be refused.
 inline constexpr Duration kIdleConnection = Seconds(3);
 
 inline constexpr Duration kTick = Millis(50);
