--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -149,17 +149,7 @@
 BOOST_AUTO_TEST_CASE(a_storm_of_layouts_costs_relays_few_bytes) {
   FleetControllerCluster cluster(3);
   Listener relay(&cluster, "relay-a", 0);
-  std::string routes;
-  for (int i = 0; i < 200; ++i) {
-    routes += ",{\"name\":\"r" + std::to_string(i) + "\",\"host\":\"db" +
-              std::to_string(i) +
-              "\",\"pathPrefix\":\"/\",\"type\":\"primary\",\"timeoutMs\":"
-              "800,\"prio\":0,\"service\":\"g1\"}";
-  }
-  auto text = [&routes](uint64_t version) {
-    std::string layout = LayoutText(version, "db");
-    return layout.insert(layout.find("],\"services"), routes);
-  };
+  auto text = [](uint64_t version) { return LongLayoutText(version, 200); };
   BOOST_REQUIRE((cluster.Put(text(1)) == CallOutcome::kDone));
   BOOST_REQUIRE(cluster.RunUntil([&] { return relay.version == 1; }));
   size_t before = relay.layouts;
@@ -341,13 +331,6 @@
              s.cluster.orders[1].fence_token);
 }
 
-std::string BoundedLayoutText(uint64_t version) {
-  std::string text = LayoutText(version, "db");
-  std::string plain = "\"type\":\"primary\"";
-  return text.replace(text.find(plain), plain.size(),
-                      "\"type\":\"bounded\",\"maxStalenessMs\":1500");
-}
-
 BOOST_AUTO_TEST_CASE(a_report_of_lag_before_any_layout_changes_nothing) {
   FleetControllerCluster cluster(1);
   BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Leader().has_value(); }));
--- a/fleet/test/fleet_controller_cluster.h
+++ b/fleet/test/fleet_controller_cluster.h
@@ -14,17 +14,10 @@
 #include "cardamomchute/fleet/fleet_controller.h"
 #include "cardamomchute/platform/documents.h"
 #include "cardamomchute/platform/line_protocol.h"
+#include "platform_texts.h"
 
 namespace cardamomchute {
 
-inline std::string LayoutText(uint64_t version, const std::string& database) {
-  return "{\"version\":" + std::to_string(version) +
-         ",\"routes\":[{\"name\":\"r\",\"host\":\"" + database +
-         "\",\"pathPrefix\":\"/\",\"type\":\"primary\",\"timeoutMs\":800,"
-         "\"prio\":0,\"service\":\"g1\"}],\"services\":[{\"name\":\"g1\","
-         "\"maxConns\":8,\"syncReplicas\":1}]}";
-}
-
 class FleetControllerCluster {
  public:
   /// The first three found the system; others join.
--- a/tests/fleet-test.cc
+++ b/tests/fleet-test.cc
@@ -15,6 +15,7 @@
 
 #include "cardamomchute/http/http_client.h"
 #include "line_group.h"
+#include "platform_texts.h"
 #include "process.h"
 
 namespace cardamomchute {
@@ -90,7 +91,7 @@
               ("fleet-test-" + std::to_string(::getpid()) + "-" +
                std::to_string(++count));
     std::filesystem::create_directories(folder_);
-    platform_.AddRoutes({{"POST", "/promote",
+    platform_.AddRoutes({{"POST", kPromotePath,
                           [this](const HttpRequest& request, HttpDone done) {
                             Promote(request.body);
                             done({});
@@ -138,14 +139,9 @@
 
   /// Sent to one steward after another until one accepts.
   bool PutLayout(uint64_t version) {
-    std::string body =
-        "{\"version\":" + std::to_string(version) +
-        ",\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"pathPrefix\":\"/\","
-        "\"type\":\"session\",\"timeoutMs\":800,\"sloMs\":200,\"prio\":0,"
-        "\"service\":\"g1\",\"maxStalenessMs\":2500}],\"services\":[{\"name\":"
-        "\"g1\",\"maxConns\":36,\"syncReplicas\":1}]}";
+    std::string body = SessionLayoutText(version);
     return Eventually(
-        [&] { return AnySteward("POST", "/config/put", body).has_value(); });
+        [&] { return AnySteward("POST", kPutLayoutPath, body).has_value(); });
   }
   /// What a steward that is sure answers.
   std::optional<std::string> AnySteward(const std::string& method,
@@ -171,8 +167,8 @@
 
   bool Ready(size_t i) {
     Result<HttpResponse> answer =
-        CallHttp(Address{Host(kStewards + i), http_port_}, "GET", "/ready", "",
-                 Millis(300));
+        CallHttp(Address{Host(kStewards + i), http_port_}, "GET", kReadyPath,
+                 "", Millis(300));
     return answer && answer.value().status == 200;
   }
 
@@ -221,18 +217,15 @@
   }
 
   void AnnounceOne(size_t i, uint64_t sequence) {
-    std::string id = "g1-" + std::to_string(i);
+    EndpointId id("g1-" + std::to_string(i));
     auto [leads, port, dead] = WithGroup([i](LineGroup& group) {
       const LineMember& member = group.member(i);
       return std::tuple(member.is_primary, member.address.port, member.silent);
     });
     if (dead) return;
     std::string body =
-        "{\"service\":\"g1\",\"addr\":\"127.0.0.1:" + std::to_string(port) +
-        "\",\"zone\":\"a\",\"slots\":2,\"state\":\"ready\",\"dbRole\":\"" +
-        (leads ? "primary" : "replica") +
-        "\",\"seq\":" + std::to_string(sequence) + ",\"born\":1}";
-    AnySteward("POST", "/instances/" + id + "/beat", body);
+        AnnouncementText(Address{"127.0.0.1", port}, leads, sequence);
+    AnySteward("POST", AnnouncementPath(id), body);
   }
 
   void Promote(const std::string& body) {
@@ -458,9 +451,8 @@
     s.fleet.StartSteward(i, false);
     BOOST_TEST(Fleet::Eventually([&] {
       std::optional<std::string> read =
-          s.fleet.AnySteward("GET", "/config/get", "");
-      return read && read->find("\"version\":" + std::to_string(10 + i)) !=
-                         std::string::npos;
+          s.fleet.AnySteward("GET", kGetLayoutPath, "");
+      return read && HoldsVersion(*read, 10 + i);
     }));
   }
   BOOST_TEST(s.Progress());
@@ -475,8 +467,8 @@
   for (size_t i = 0; i < kStewards; ++i) s.fleet.StartSteward(i, false);
   BOOST_TEST(Fleet::Eventually([&] {
     std::optional<std::string> read =
-        s.fleet.AnySteward("GET", "/config/get", "");
-    return read && read->find("\"version\":42") != std::string::npos;
+        s.fleet.AnySteward("GET", kGetLayoutPath, "");
+    return read && HoldsVersion(*read, 42);
   }));
   s.Check();
 }
