--- /dev/null
+++ b/fleet/test/replacement_fixture.h
@@ -0,0 +1,116 @@
+/// A relay's link to a cluster of control members, and a database group that
+/// the cluster looks after.
+#ifndef CARDAMOMCHUTE_FLEET_TEST_REPLACEMENT_FIXTURE_H_
+#define CARDAMOMCHUTE_FLEET_TEST_REPLACEMENT_FIXTURE_H_
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fleet_controller_cluster.h"
+#include "line_group.h"
+
+namespace cardamomchute {
+
+/// A relay's link that keeps what it is told.
+struct Listener {
+  Listener(FleetControllerCluster* cluster, const std::string& vm,
+           size_t member, Address peers = Address{"127.0.0.1", 1}) {
+    ControlLinkParams params;
+    params.io = &cluster->io;
+    params.vm = VmId(vm);
+    params.zone = Zone("a");
+    params.peers = peers;
+    params.on_push = [this](const DirectoryPush& push) {
+      ++pushes;
+      Merge(directory, push.delta, Now());
+      if (!push.layout) return;
+      ++layouts;
+      if (push.layout_change) ++changes;
+      layout_text = push.layout->text;
+      if (push.layout->version < version) went_back = true;
+      version = push.layout->version;
+    };
+    params.on_lease = [this](const PrimaryLeaseGrant& grant) {
+      for (const auto& [group, endpoint] : grant.primaries)
+        lease = ExtendLease(lease, endpoint, asked[grant.number], grant.valid);
+    };
+    Address address = cluster->AddressOf(member);
+    params.seeds = [address] { return std::vector<Address>{address}; };
+    link = std::make_shared<ControlLink>(std::move(params));
+    link->Start();
+  }
+  ~Listener() { link->Stop(); }
+
+  /// Requests a lease on the primary of "g1", at most once in a while.
+  void RenewLease() {
+    Time now = Now();
+    if (!asked.empty() && now - asked.rbegin()->second < kLeaseRequestInterval)
+      return;
+    uint64_t number = asked.size() + 1;
+    asked[number] = now;
+    link->RequestLeases({number, {GroupId("g1")}});
+  }
+  bool HasLease(const std::string& endpoint) const {
+    return LeaseCovers(lease, EndpointId(endpoint), Now(), Duration());
+  }
+
+  std::shared_ptr<ControlLink> link;
+  Directory directory;
+  uint64_t version = 0;
+  bool went_back = false;
+  size_t pushes = 0;
+  size_t layouts = 0;  ///< that it was sent
+  size_t changes = 0;  ///< of these, as differences
+  std::string layout_text;
+  HeldLease lease;
+  std::map<uint64_t, Time> asked;  ///< send times of lease requests
+};
+
+/// A group of three behind a cluster that looks after its lead.
+struct Succession {
+  /// The first three of `members` have announced themselves.
+  explicit Succession(size_t members = 3)
+      : cluster(3), group(&cluster.io, "g1", members) {
+    cluster.on_promote = [this](const PromoteRequest& order,
+                                std::function<void(PromoteOutcome)> done) {
+      if (lose_orders > 0) {
+        --lose_orders;
+        return done(PromoteOutcome::kUnknown);
+      }
+      group.Promote(order.endpoint);
+      done(PromoteOutcome::kAccepted);
+    };
+    BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+    listener = std::make_unique<Listener>(&cluster, "relay-a", 0);
+    BOOST_REQUIRE(cluster.RunUntil([&] { return AnnounceAll(); }));
+    BOOST_REQUIRE(cluster.RunUntil([&] { return LeadIs("g1-0"); }));
+  }
+
+  bool AnnounceAll() {
+    ++sequence;
+    bool all = true;
+    for (size_t i = 0; i < 3; ++i)
+      all = cluster.At(i)->Announce(group.Record(i, "a", sequence)) && all;
+    return all;
+  }
+  bool LeadIs(const std::string& id) {
+    const EndpointRecord* lead =
+        CurrentPrimary(listener->directory, GroupId("g1"));
+    return lead != nullptr && lead->id.value() == id;
+  }
+  void Complain(EndpointProblem trouble) {
+    listener->link->Report(GroupId("g1"), EndpointId("g1-0"), trouble);
+  }
+
+  FleetControllerCluster cluster;
+  LineGroup group;
+  std::unique_ptr<Listener> listener;
+  uint64_t sequence = 0;
+  int lose_orders = 0;
+};
+
+}  // namespace cardamomchute
+
+#endif  // CARDAMOMCHUTE_FLEET_TEST_REPLACEMENT_FIXTURE_H_
