Dial control less often while attempts fail

The delay now doubles from the seventh failure in a row to 0.8 s, spread at random; a notice from control or a push starts anew. The test of a member that closes every connection failed before (20 dials in each of two spans of 2 s).

--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -58,6 +58,7 @@
   void OnPush(DirectoryPush push);
   void Lose(const std::string& reason);
   void SendReport();
+  void RecordFailure();
 
   ControlLinkParams params_;
   boost::asio::steady_timer timer_;
@@ -65,6 +66,7 @@
   std::vector<Address> members_;  ///< from the last push or farewell
   size_t next_member_ = 0;
   bool dialling_ = false;
+  uint32_t failures_ = 0;  ///< attempts in a row without a message from control
   bool stopped_ = false;
   bool draining_ = false;
   uint64_t layout_version_ = 0;
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -6,14 +6,16 @@
 #include <utility>
 
 #include "cardamomchute/base/log.h"
+#include "cardamomchute/policy/dial_backoff.h"
 
 namespace cardamomchute {
 namespace {
 
 constexpr Duration kTick = Millis(100);
 constexpr Duration kReportInterval = Seconds(2);
-constexpr Duration kDialInterval = Millis(100);
 constexpr Duration kDialTimeout = Millis(250);
+/// Spreads consecutive values of a hash.
+constexpr uint64_t kHashPrime = 0x9E3779B97F4A7C15ULL;
 constexpr LinkTiming kTiming = {Millis(400), Millis(1600)};
 
 uint64_t WallClockMs() {
@@ -56,7 +58,7 @@
   }
   if (candidates.empty()) return;
   dialling_ = true;
-  next_dial_ = Now() + kDialInterval;
+  next_dial_ = Now() + kDialDelayMin;
   Address address = candidates[next_member_++ % candidates.size()];
   std::weak_ptr<ControlLink> weak = weak_from_this();
   ConnectLink(
@@ -76,13 +78,14 @@
         std::find(members_.begin(), members_.end(), member) != members_.end();
     if (!known) members_.push_back(member);
   }
+  failures_ = 0;
   if (!dialling_) Dial();
 }
 
 void ControlLink::OnDialled(const Address& address,
                             std::shared_ptr<Link> link) {
   dialling_ = false;
-  if (!link) return;
+  if (!link) return RecordFailure();
   if (stopped_) return link->Close();
   link_ = link;
   LogLine(LogLevel::kInfo, "control_link_up")
@@ -100,6 +103,13 @@
   SendReport();
 }
 
+/// Delays the next attempt, and longer after each failure in a row.
+void ControlLink::RecordFailure() {
+  ++failures_;
+  uint64_t random = std::hash<std::string>()(params_.vm.value()) + failures_;
+  next_dial_ = Now() + DialDelay(failures_, random * kHashPrime >> 33);
+}
+
 void ControlLink::SendReport() {
   next_report_ = Now() + kReportInterval;
   RelayReport report;
@@ -130,6 +140,7 @@
 
 void ControlLink::OnPush(DirectoryPush push) {
   if (!push.members.empty()) members_ = push.members;
+  failures_ = 0;
   if (push.layout_change) {
     const LayoutChange& change = *push.layout_change;
     std::optional<std::string> text;
@@ -148,6 +159,7 @@
   LogLine(LogLevel::kInfo, "control_link_lost").Field("reason", reason);
   link_->Close();
   link_ = nullptr;
+  RecordFailure();
 }
 
 void ControlLink::SetDraining() {
