--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -143,16 +143,15 @@
   void ConfirmAndRun(std::function<void(Time)> run);
   std::vector<EndpointRecord> CountedMembers(const GroupId& group) const;
   std::set<GroupId> Groups() const;
+  /// Returns the layout in force, parsed when it is first needed: replaying
+  /// the log applies many. Null if there is none.
+  const Layout* ParsedLayout() const;
 
   FleetControllerParams params_;
   std::shared_ptr<QuorumHost> host_;
   LeadershipBarrier rounds_;
   PrimaryLeaseServer leases_;
   StoredLayout layout_;
-  /// Returns the layout in force, parsed when it is first needed: replaying
-  /// the log applies many. Null if there is none.
-  const Layout* ParsedLayout() const;
-
   mutable std::optional<Layout> parsed_;
   bool layout_due_ = false;  ///< not yet pushed to relays
   StoredLayout pushed_;      ///< last layout that was pushed to relays
--- a/relay/src/endpoint_pool_floors.cc
+++ b/relay/src/endpoint_pool_floors.cc
@@ -72,9 +72,7 @@
 /// before that.
 void EndpointPool::NoteProof(const HeldPtr& held, const CommandAnswer& answer) {
   if (!bounds_.is_primary || !answer.at) return;
-  bool leased = !params_.renew_lease || LeaseCovers(lease_, params_.endpoint,
-                                                    held->sent_at, Duration());
-  if (!leased) return;
+  if (!Leased(held->sent_at, Duration())) return;
   proof_ = PositionSample{held->sent_at, *answer.at};
   history_.Add(*proof_);
   ServeFloorWaiters(Now(), false);
