Tell members which layout their relays route by, and log it

A relay that routed by an old layout looked the same in the logs whether its member had not pushed the new one, or the push waited in front of the relay's link. Relays now report again as soon as a layout is in force on their traffic thread. Members log layout_pushed, layout_confirmed once all their relays route by a version, layout_unconfirmed after 2 s otherwise, and count relays behind in steward_relays_behind.

A relay also takes a change as the base of later ones only once it routes by it, so that one it cannot read does not spoil the next.

--- a/apps/cardamomchuted/fleet_controller_node.cc
+++ b/apps/cardamomchuted/fleet_controller_node.cc
@@ -58,6 +58,10 @@
             .Set(fleet_controller_->leading() ? 1 : 0);
         metrics_.GetGauge("steward_layout_version")
             .Set(static_cast<int64_t>(fleet_controller_->layout_version()));
+        metrics_.GetGauge("steward_relays")
+            .Set(static_cast<int64_t>(fleet_controller_->relays()));
+        metrics_.GetGauge("steward_relays_behind")
+            .Set(static_cast<int64_t>(fleet_controller_->RelaysBehind()));
         return ReadyState{fleet_controller_->has_leader_contact(),
                           fleet_controller_->has_leader_contact()
                               ? "in touch with the quorum"
--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -122,7 +122,10 @@
       .Field("routes", layout.value().routes.size());
   std::shared_ptr<const Layout> shared =
       std::make_shared<Layout>(std::move(layout.value()));
-  asio::post(traffic_, [relay = relay_, shared] { relay->OnLayout(shared); });
+  asio::post(traffic_, [this, shared] {
+    relay_->OnLayout(shared);
+    asio::post(control_, [this] { link_->ConfirmLayout(); });
+  });
 }
 
 void RelayNode::WaitForSignal() {
--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -42,7 +42,11 @@
   void SetDraining();
   /// Adds members to connect to, and tries one at once if there is no link.
   void AddMembers(const std::vector<Address>& members);
+  /// Takes the layout of the current push as the one to route by. Called from
+  /// within `on_push`; later changes build on it.
   void SetLayoutVersion(uint64_t version) { layout_version_ = version; }
+  /// Tells control that this relay routes by the layout it has taken.
+  void ConfirmLayout();
   /// Reports a problem with an endpoint; dropped while the link is down.
   void Report(const GroupId& group, const EndpointId& endpoint,
               EndpointProblem trouble);
@@ -58,6 +62,7 @@
   void OnPush(DirectoryPush push);
   void Lose(const std::string& reason);
   void SendReport();
+  RelayReport MakeReport() const;
   void RecordFailure();
 
   ControlLinkParams params_;
@@ -70,7 +75,7 @@
   bool stopped_ = false;
   bool draining_ = false;
   uint64_t layout_version_ = 0;
-  StoredLayout layout_;  ///< last one received
+  StoredLayout layout_;  ///< the one that was taken
   uint64_t run_ms_ = 0;
   uint64_t sequence_ = 0;
   Time next_report_;
--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -23,6 +23,7 @@
 #include "cardamomchute/peers/leadership_barrier.h"
 #include "cardamomchute/peers/quorum_host.h"
 #include "cardamomchute/policy/layout.h"
+#include "cardamomchute/policy/layout_push.h"
 
 namespace cardamomchute {
 
@@ -83,6 +84,10 @@
     return host_ && host_->HasLeaderContact(Now());
   }
   uint64_t layout_version() const { return layout_.version; }
+  /// Number of relays that this member serves.
+  size_t relays() const { return relays_.size(); }
+  /// Number of them that have not confirmed the layout in force.
+  size_t RelaysBehind() const;
 
  private:
   using LinkPtr = std::shared_ptr<Link>;
@@ -92,9 +97,10 @@
   };
   struct ConnectedRelay {
     LinkPtr link;
-    uint64_t layout_version = 0;  ///< last one that was sent to it
-    bool has_directory = false;   ///< was sent the directory
-    bool takes_changes = false;   ///< see RelayReport
+    VmId vm;
+    RelayLayout layout;
+    bool has_directory = false;  ///< was sent the directory
+    bool takes_changes = false;  ///< see RelayReport
   };
   /// A relay that connected while no leader was known.
   struct WaitingRelay {
@@ -124,6 +130,7 @@
                                       std::map<bool, std::string>* packed);
   void Flush();
   void PushLayout(Time now);
+  void LogLayoutProgress(Time now);
   void SendFarewells();
   void NotifyFormerRelays(Time now);
   void LoadDirectory();
@@ -156,6 +163,9 @@
   bool layout_due_ = false;  ///< not yet pushed to relays
   StoredLayout pushed_;      ///< last layout that was pushed to relays
   Time next_layout_push_;
+  Time layout_since_;  ///< when `layout_` came in force at this member
+  uint64_t logged_confirmed_ = 0;  ///< last version that a line said so of
+  uint64_t logged_overdue_ = 0;
   Directory directory_;
   std::map<LogIndex, PendingPut> pending_;
   std::map<Link*, ConnectedRelay> relays_;
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -110,19 +110,30 @@
   next_dial_ = Now() + DialDelay(failures_, random * kHashPrime >> 33);
 }
 
-void ControlLink::SendReport() {
-  next_report_ = Now() + kReportInterval;
+RelayReport ControlLink::MakeReport() const {
   RelayReport report;
   report.relay.vm = params_.vm;
   report.relay.address = params_.peers;
   report.relay.zone = params_.zone;
   report.relay.draining = draining_;
   report.relay.started_ms = run_ms_;
-  report.relay.sequence = ++sequence_;
+  report.relay.sequence = sequence_;
   report.relay.slots_carried = params_.slots_carried;
   report.layout_version = layout_version_;
   report.takes_changes = true;
-  link_->Send(FrameType::kControl, PackFleetMessage(report));
+  return report;
+}
+
+void ControlLink::SendReport() {
+  next_report_ = Now() + kReportInterval;
+  ++sequence_;
+  link_->Send(FrameType::kControl, PackFleetMessage(MakeReport()));
+}
+
+/// The report keeps its sequence number, as the relay itself has not changed.
+void ControlLink::ConfirmLayout() {
+  if (!link_) return;
+  link_->Send(FrameType::kControl, PackFleetMessage(MakeReport()));
 }
 
 void ControlLink::OnFrame(std::string_view body) {
@@ -150,8 +161,9 @@
     if (!text) return Lose("a layout change does not fit the layout held");
     push.layout = StoredLayout{change.version, std::move(*text)};
   }
-  if (push.layout) layout_ = *push.layout;
   params_.on_push(push);
+  bool taken = push.layout && push.layout->version == layout_version_;
+  if (taken) layout_ = std::move(*push.layout);
 }
 
 void ControlLink::Lose(const std::string& reason) {
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -133,6 +133,7 @@
         .Field("index", entry.index)
         .Field("bytes", layout_.text.size());
     layout_due_ = true;
+    layout_since_ = Now();
   }
   auto pending = pending_.find(entry.index);
   if (pending == pending_.end()) return;
@@ -152,6 +153,7 @@
   layout_ = std::move(stored.value());
   parsed_.reset();
   layout_due_ = layout_.version > 0;
+  layout_since_ = Now();
 }
 
 const Layout* FleetController::ParsedLayout() const {
--- a/fleet/src/fleet_controller_relays.cc
+++ b/fleet/src/fleet_controller_relays.cc
@@ -19,6 +19,8 @@
 /// Control members that notify each former relay, as some may not be back yet.
 constexpr size_t kNoticesPerRelay = 3;
 constexpr Duration kNoticeTimeout = Millis(500);
+/// A relay that has not confirmed a layout after this long is named in the log.
+constexpr Duration kLayoutOverdue = Seconds(2);
 
 }  // namespace
 
@@ -47,11 +49,58 @@
   }
   ConnectedRelay& relay = relays_[link.get()];
   relay.link = link;
+  relay.vm = report.relay.vm;
+  relay.takes_changes = report.takes_changes;
+  relay.layout.confirmed = report.layout_version;
+  if (first) relay.layout.sent = report.layout_version;
+  auto known = directory_.relays.find(relay.vm);
+  bool same = !first && known != directory_.relays.end() &&
+              known->second.started_ms == report.relay.started_ms &&
+              known->second.sequence == report.relay.sequence;
+  if (same) return;
   DirectoryDelta delta;
   delta.relays.push_back(report.relay);
   TakeDelta(delta, false);
-  if (first) relay.layout_version = report.layout_version;
-  relay.takes_changes = report.takes_changes;
+}
+
+size_t FleetController::RelaysBehind() const {
+  return static_cast<size_t>(
+      std::count_if(relays_.begin(), relays_.end(), [this](const auto& item) {
+        return item.second.layout.confirmed < layout_.version;
+      }));
+}
+
+/// Says once for each version when all relays of this member route by it, and
+/// if some have not confirmed it in time.
+void FleetController::LogLayoutProgress(Time now) {
+  if (logged_confirmed_ == layout_.version || relays_.empty()) return;
+  size_t behind = RelaysBehind();
+  Duration since = now - layout_since_;
+  if (behind == 0) {
+    logged_confirmed_ = layout_.version;
+    LogLine(LogLevel::kInfo, "layout_confirmed")
+        .Field("version", layout_.version)
+        .Field("relays", relays_.size())
+        .Field("after_ms", since.ms());
+    return;
+  }
+  if (logged_overdue_ == layout_.version || since < kLayoutOverdue) return;
+  logged_overdue_ = layout_.version;
+  auto oldest = std::min_element(
+      relays_.begin(), relays_.end(), [](const auto& a, const auto& b) {
+        return a.second.layout.confirmed < b.second.layout.confirmed;
+      });
+  const ConnectedRelay& relay = oldest->second;
+  LogLine(LogLevel::kWarn, "layout_unconfirmed")
+      .Field("version", layout_.version)
+      .Field("relays", relays_.size())
+      .Field("behind", behind)
+      .Field("oldest_relay", relay.vm)
+      .Field("oldest_version", relay.layout.confirmed)
+      .Field("oldest_sent", relay.layout.sent)
+      .Field("sent_ms_ago", (now - relay.layout.sent_at).ms())
+      .Field("unsent_bytes", relay.link->unsent_bytes())
+      .Field("after_ms", since.ms());
 }
 
 /// Serves relays that connected while no leader was known, or sends them to
@@ -101,12 +150,14 @@
     if (std::exchange(relay.has_directory, true)) continue;
     // A link accepts only a short frame first.
     relay.link->Send(FrameType::kControl, bare);
-    bool needs_layout = layout_.version > relay.layout_version;
+    bool needs_layout = layout_.version > relay.layout.sent;
     const std::string& message =
         needs_layout ? PackedFor(relay, with_layout, &packed_with_layout)
                      : PackedFor(relay, known, &packed);
     relay.link->Send(FrameType::kControl, message);
-    if (needs_layout) relay.layout_version = layout_.version;
+    if (!needs_layout) continue;
+    relay.layout.sent = layout_.version;
+    relay.layout.sent_at = Now();
   }
 }
 
@@ -124,6 +175,7 @@
   }
   SendDirectoryToNewRelays();
   PushLayout(Now());
+  LogLayoutProgress(Now());
   if (to_members_.Empty()) return;
   DirectoryPush push;
   push.delta = std::exchange(to_members_, DirectoryDelta());
@@ -144,17 +196,31 @@
                    MakeTextDelta(pushed_.text, layout_.text)};
   std::map<bool, std::string> packed;
   std::map<bool, std::string> packed_change;
+  size_t changes = 0;
+  size_t wholes = 0;
+  size_t unconfirmed = 0;
+  size_t bytes = 0;
   for (auto& [key, relay] : relays_) {
-    if (relay.layout_version >= layout_.version) continue;
-    bool has_base =
-        relay.takes_changes && relay.layout_version == pushed_.version;
+    if (relay.layout.sent >= layout_.version) continue;
+    bool has_base = relay.takes_changes && relay.layout.sent == pushed_.version;
     const std::string& message = has_base
                                      ? PackedFor(relay, change, &packed_change)
                                      : PackedFor(relay, whole, &packed);
+    if (IsUnconfirmed(relay.layout)) ++unconfirmed;
+    ++(has_base ? changes : wholes);
+    bytes += message.size();
     relay.link->Send(FrameType::kControl, message);
-    relay.layout_version = layout_.version;
+    relay.layout.sent = layout_.version;
+    relay.layout.sent_at = now;
   }
   pushed_ = layout_;
+  if (changes + wholes == 0) return;
+  LogLine(LogLevel::kInfo, "layout_pushed")
+      .Field("version", layout_.version)
+      .Field("changes", changes)
+      .Field("whole", wholes)
+      .Field("bytes", bytes)
+      .Field("unconfirmed", unconfirmed);
 }
 
 /// Sends all relays to another member, since this one no longer learns what the
--- a/fleet/test/replacement_fixture.h
+++ b/fleet/test/replacement_fixture.h
@@ -31,6 +31,8 @@
       layout_text = push.layout->text;
       if (push.layout->version < version) went_back = true;
       version = push.layout->version;
+      link->SetLayoutVersion(version);
+      link->ConfirmLayout();
     };
     params.on_lease = [this](const PrimaryLeaseGrant& grant) {
       for (const auto& [group, endpoint] : grant.primaries)
