Show that superseded layouts queue in front of a slow relay

A control member sends each relay up to two layouts a second, whether or not the relay has put the earlier ones in force.

--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -107,6 +107,25 @@
   BOOST_TEST(relay.layout_text == text(kVersions));
 }
 
+/// Layouts that wait in front of a slow relay delay the one in force.
+BOOST_AUTO_TEST_CASE(superseded_layouts_do_not_queue_for_a_slow_relay) {
+  FleetControllerCluster cluster(3);
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  SlowRelay relay(&cluster, 0);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return relay.sent.size() == 1; }));
+  constexpr uint64_t kNewest = 4;
+  for (uint64_t version = 2; version <= kNewest; ++version) {
+    BOOST_REQUIRE(
+        (cluster.Put(LayoutText(version, "db")) == CallOutcome::kDone));
+    // Longer than the interval between two pushes.
+    cluster.RunUntil([] { return false; }, Millis(700));
+  }
+  BOOST_TEST(relay.sent.size() == 1u);
+  relay.Report(1);
+  BOOST_TEST(cluster.RunUntil([&] { return relay.sent.back() == kNewest; }));
+  BOOST_TEST(relay.sent.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_disk_among_a_full_restart_loses_nothing) {
   FleetControllerCluster cluster(5);
   BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
--- a/fleet/test/replacement_fixture.h
+++ b/fleet/test/replacement_fixture.h
@@ -70,6 +70,47 @@
   std::map<uint64_t, Time> asked;  ///< send times of lease requests
 };
 
+/// A relay that reads what it is sent, but routes by a layout only when told
+/// to.
+struct SlowRelay {
+  SlowRelay(FleetControllerCluster* cluster, size_t member) {
+    ConnectLink(cluster->io.get_executor(), cluster->AddressOf(member),
+                Seconds(2), [this](const std::shared_ptr<Link>& connected) {
+                  if (!connected) return;
+                  link = connected;
+                  link->Start(
+                      [this](FrameType, std::string_view body) { Read(body); },
+                      [](const std::string&) {});
+                  Report(0);
+                });
+  }
+  ~SlowRelay() {
+    if (link) link->Close();
+  }
+
+  /// Says that it routes by `version`.
+  void Report(uint64_t version) {
+    RelayReport report;
+    report.relay.vm = VmId("relay-slow");
+    report.relay.address = Address{"127.0.0.1", 1};
+    report.layout_version = version;
+    report.takes_changes = true;
+    link->Send(FrameType::kControl, PackFleetMessage(report));
+  }
+
+  void Read(std::string_view body) {
+    Result<FleetMessage> message = UnpackFleetMessage(body);
+    BOOST_REQUIRE(message);
+    const auto* push = std::get_if<DirectoryPush>(&message.value());
+    if (push == nullptr) return;
+    if (push->layout) sent.push_back(push->layout->version);
+    if (push->layout_change) sent.push_back(push->layout_change->version);
+  }
+
+  std::shared_ptr<Link> link;
+  std::vector<uint64_t> sent;  ///< versions of the layouts that it was sent
+};
+
 /// A group of three behind a cluster that looks after its lead.
 struct Succession {
   /// The first three of `members` have announced themselves.
