Send a relay one layout at a time

What callers saw: 404 for databases whose route had been accepted for more than 4 s, on deployments with narrow links, while versions came quickly.

Cause: control sent each relay every version, whether or not the relay had put the earlier ones in force. They waited in front of its link, and the one in force came last.

Change: a relay that has yet to confirm a layout is sent none (policy/layout_push); the newest follows once it confirms, as a difference from what it holds. Relays confirm what their traffic thread routes by, also in their periodic reports. The layouts of a control member have a file of their own.

--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -124,7 +124,9 @@
       std::make_shared<Layout>(std::move(layout.value()));
   asio::post(traffic_, [this, shared] {
     relay_->OnLayout(shared);
-    asio::post(control_, [this] { link_->ConfirmLayout(); });
+    asio::post(control_, [this, version = shared->version] {
+      link_->ConfirmLayout(version);
+    });
   });
 }
 
--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -45,8 +45,8 @@
   /// Takes the layout of the current push as the one to route by. Called from
   /// within `on_push`; later changes build on it.
   void SetLayoutVersion(uint64_t version) { layout_version_ = version; }
-  /// Tells control that this relay routes by the layout it has taken.
-  void ConfirmLayout();
+  /// Tells control that this relay routes by `version`.
+  void ConfirmLayout(uint64_t version);
   /// Reports a problem with an endpoint; dropped while the link is down.
   void Report(const GroupId& group, const EndpointId& endpoint,
               EndpointProblem trouble);
@@ -74,8 +74,9 @@
   uint32_t failures_ = 0;  ///< attempts in a row without a message from control
   bool stopped_ = false;
   bool draining_ = false;
-  uint64_t layout_version_ = 0;
-  StoredLayout layout_;  ///< the one that was taken
+  uint64_t layout_version_ = 0;     ///< taken
+  uint64_t confirmed_version_ = 0;  ///< in force
+  StoredLayout layout_;             ///< the one that was taken
   uint64_t run_ms_ = 0;
   uint64_t sequence_ = 0;
   Time next_report_;
--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cardamomchute/fleet/messages.h"
@@ -91,6 +92,7 @@
 
  private:
   using LinkPtr = std::shared_ptr<Link>;
+  using Base = std::pair<const uint64_t, std::string>;
   struct PendingPut {
     QuorumTerm term;
     LayoutDone done;
@@ -100,7 +102,6 @@
     VmId vm;
     RelayLayout layout;
     bool has_directory = false;  ///< was sent the directory
-    bool takes_changes = false;  ///< see RelayReport
   };
   /// A relay that connected while no leader was known.
   struct WaitingRelay {
@@ -130,6 +131,12 @@
                                       std::map<bool, std::string>* packed);
   void Flush();
   void PushLayout(Time now);
+  /// Returns the layout in force as a difference from `base`.
+  std::string PackChange(const Base& base) const;
+  /// Sends a message that holds the layout in force.
+  void SendLayout(ConnectedRelay* relay, const std::string& message,
+                  Time now) const;
+  void RetainBases();
   void LogLayoutProgress(Time now);
   void SendFarewells();
   void NotifyFormerRelays(Time now);
@@ -160,8 +167,9 @@
   PrimaryLeaseServer leases_;
   StoredLayout layout_;
   mutable std::optional<Layout> parsed_;
-  bool layout_due_ = false;  ///< not yet pushed to relays
-  StoredLayout pushed_;      ///< last layout that was pushed to relays
+  bool layout_due_ = false;  ///< not yet pushed to all relays
+  /// Texts of layouts that relays hold, by version.
+  std::map<uint64_t, std::string> bases_;
   Time next_layout_push_;
   Time layout_since_;  ///< when `layout_` came in force at this member
   uint64_t logged_confirmed_ = 0;  ///< last version that a line said so of
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -119,7 +119,7 @@
   report.relay.started_ms = run_ms_;
   report.relay.sequence = sequence_;
   report.relay.slots_carried = params_.slots_carried;
-  report.layout_version = layout_version_;
+  report.layout_version = confirmed_version_;
   report.takes_changes = true;
   return report;
 }
@@ -131,7 +131,8 @@
 }
 
 /// The report keeps its sequence number, as the relay itself has not changed.
-void ControlLink::ConfirmLayout() {
+void ControlLink::ConfirmLayout(uint64_t version) {
+  confirmed_version_ = version;
   if (!link_) return;
   link_->Send(FrameType::kControl, PackFleetMessage(MakeReport()));
 }
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -116,105 +116,6 @@
   return hooks;
 }
 
-// ---- layouts ---------------------------------------------------------------
-
-void FleetController::Apply(const LogEntry& entry) {
-  bool newer = false;
-  if (entry.kind == EntryKind::kCommand) {
-    Result<StoredLayout> stored = Unpack<StoredLayout>(entry.command);
-    if (!stored) return host_->Fail(stored.error());
-    newer = stored.value().version > layout_.version;
-    if (newer) layout_ = std::move(stored.value());
-  }
-  if (newer) {
-    parsed_.reset();
-    LogLine(LogLevel::kInfo, "layout_applied")
-        .Field("version", layout_.version)
-        .Field("index", entry.index)
-        .Field("bytes", layout_.text.size());
-    layout_due_ = true;
-    layout_since_ = Now();
-  }
-  auto pending = pending_.find(entry.index);
-  if (pending == pending_.end()) return;
-  LayoutDone done = std::move(pending->second.done);
-  bool same = pending->second.term == entry.term;
-  pending_.erase(pending);
-  LayoutResult answer;
-  if (same) answer.outcome = CallOutcome::kDone;
-  done(std::move(answer));
-}
-
-void FleetController::Restore(const std::string& bytes) {
-  if (bytes.empty()) return;
-  Result<StoredLayout> stored = Unpack<StoredLayout>(bytes);
-  if (!stored) return host_->Fail(stored.error());
-  if (stored.value().version <= layout_.version) return;
-  layout_ = std::move(stored.value());
-  parsed_.reset();
-  layout_due_ = layout_.version > 0;
-  layout_since_ = Now();
-}
-
-const Layout* FleetController::ParsedLayout() const {
-  if (layout_.version == 0) return nullptr;
-  if (parsed_) return &*parsed_;
-  Result<Layout> parsed = params_.parse_layout(layout_.text);
-  if (!parsed) {
-    host_->Fail(parsed.error());
-    return nullptr;
-  }
-  parsed_ = std::move(parsed.value());
-  return &*parsed_;
-}
-
-LayoutResult FleetController::Elsewhere() const {
-  LayoutResult answer;
-  const QuorumState& quorum = host_->quorum();
-  auto leader = quorum.config.members.find(quorum.leader);
-  bool known = leader != quorum.config.members.end() &&
-               quorum.leader != quorum.self && host_->HasLeaderContact(Now());
-  if (!known) return answer;
-  answer.outcome = CallOutcome::kOtherLeader;
-  answer.leader = leader->second.address.host;
-  return answer;
-}
-
-void FleetController::PutLayout(std::string text, LayoutDone done) {
-  Result<Layout> read = params_.parse_layout(text);
-  if (!read) {
-    LogLine(LogLevel::kInfo, "layout_refused")
-        .Field("error", ToString(read.error()));
-    return done({CallOutcome::kInvalid, ToString(read.error()), ""});
-  }
-  if (!host_->leading()) return done(Elsewhere());
-  uint64_t version = read.value().version;
-  LogLine(LogLevel::kInfo, "layout_submitted")
-      .Field("version", version)
-      .Field("held", layout_.version)
-      .Field("routes", read.value().routes.size());
-  if (version <= layout_.version) {
-    rounds_.Add({[done] {
-                   done({CallOutcome::kDone, "", ""});
-                 },
-                 [done] { done({}); }});
-    return;
-  }
-  std::optional<LogIndex> index =
-      host_->ProposeBytes(Pack(StoredLayout{version, std::move(text)}));
-  if (!index) return done(Elsewhere());
-  pending_[*index] = PendingPut{host_->quorum().vote.term, std::move(done)};
-}
-
-void FleetController::GetLayout(LayoutDone done) {
-  if (!host_->leading()) return done(Elsewhere());
-  rounds_.Add({[this, done] {
-                 if (layout_.version == 0) return done({});
-                 done({CallOutcome::kDone, layout_.text, ""});
-               },
-               [done] { done({}); }});
-}
-
 void FleetController::OnLeadershipChange(bool is_leader) {
   rounds_.Abandon();
   std::map<LogIndex, PendingPut> pending = std::exchange(pending_, {});
@@ -228,8 +129,6 @@
   if (is_leader) next_review_.clear();
 }
 
-// ---- relays and members ----------------------------------------------------
-
 void FleetController::OnFrame(const LinkPtr& link, std::string_view body) {
   Result<FleetMessage> read = UnpackVariant<FleetMessage>(body);
   if (!read) {
--- a/fleet/src/fleet_controller_relays.cc
+++ b/fleet/src/fleet_controller_relays.cc
@@ -1,4 +1,5 @@
-/// What a control member sends to relays: layouts, the directory and leases.
+/// What a control member sends to relays besides layouts: the directory, leases
+/// and where control is.
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -10,17 +11,12 @@
 namespace cardamomchute {
 namespace {
 
-/// Minimum interval between two layouts pushed to relays. Versions in between
-/// are skipped, as only the newest is in force.
-constexpr Duration kLayoutPushInterval = Millis(500);
 /// A relay that connects while no leader is known is kept this long before it
 /// is sent to another member.
 constexpr Duration kWaitForLeader = Millis(600);
 /// Control members that notify each former relay, as some may not be back yet.
 constexpr size_t kNoticesPerRelay = 3;
 constexpr Duration kNoticeTimeout = Millis(500);
-/// A relay that has not confirmed a layout after this long is named in the log.
-constexpr Duration kLayoutOverdue = Seconds(2);
 
 }  // namespace
 
@@ -50,7 +46,7 @@
   ConnectedRelay& relay = relays_[link.get()];
   relay.link = link;
   relay.vm = report.relay.vm;
-  relay.takes_changes = report.takes_changes;
+  relay.layout.takes_changes = report.takes_changes;
   relay.layout.confirmed = report.layout_version;
   if (first) relay.layout.sent = report.layout_version;
   auto known = directory_.relays.find(relay.vm);
@@ -63,46 +59,6 @@
   TakeDelta(delta, false);
 }
 
-size_t FleetController::RelaysBehind() const {
-  return static_cast<size_t>(
-      std::count_if(relays_.begin(), relays_.end(), [this](const auto& item) {
-        return item.second.layout.confirmed < layout_.version;
-      }));
-}
-
-/// Says once for each version when all relays of this member route by it, and
-/// if some have not confirmed it in time.
-void FleetController::LogLayoutProgress(Time now) {
-  if (logged_confirmed_ == layout_.version || relays_.empty()) return;
-  size_t behind = RelaysBehind();
-  Duration since = now - layout_since_;
-  if (behind == 0) {
-    logged_confirmed_ = layout_.version;
-    LogLine(LogLevel::kInfo, "layout_confirmed")
-        .Field("version", layout_.version)
-        .Field("relays", relays_.size())
-        .Field("after_ms", since.ms());
-    return;
-  }
-  if (logged_overdue_ == layout_.version || since < kLayoutOverdue) return;
-  logged_overdue_ = layout_.version;
-  auto oldest = std::min_element(
-      relays_.begin(), relays_.end(), [](const auto& a, const auto& b) {
-        return a.second.layout.confirmed < b.second.layout.confirmed;
-      });
-  const ConnectedRelay& relay = oldest->second;
-  LogLine(LogLevel::kWarn, "layout_unconfirmed")
-      .Field("version", layout_.version)
-      .Field("relays", relays_.size())
-      .Field("behind", behind)
-      .Field("oldest_relay", relay.vm)
-      .Field("oldest_version", relay.layout.confirmed)
-      .Field("oldest_sent", relay.layout.sent)
-      .Field("sent_ms_ago", (now - relay.layout.sent_at).ms())
-      .Field("unsent_bytes", relay.link->unsent_bytes())
-      .Field("after_ms", since.ms());
-}
-
 /// Serves relays that connected while no leader was known, or sends them to
 /// another member once their wait has expired.
 void FleetController::ServeWaiting(Time now, bool has_leader_contact) {
@@ -125,10 +81,10 @@
 const std::string& FleetController::PackedFor(
     const ConnectedRelay& relay, const FleetMessage& message,
     std::map<bool, std::string>* packed) {
-  std::string& bytes = (*packed)[relay.takes_changes];
+  bool compressed = relay.layout.takes_changes;
+  std::string& bytes = (*packed)[compressed];
   if (bytes.empty())
-    bytes =
-        relay.takes_changes ? PackForRelay(message) : PackFleetMessage(message);
+    bytes = compressed ? PackForRelay(message) : PackFleetMessage(message);
   return bytes;
 }
 
@@ -154,10 +110,10 @@
     const std::string& message =
         needs_layout ? PackedFor(relay, with_layout, &packed_with_layout)
                      : PackedFor(relay, known, &packed);
-    relay.link->Send(FrameType::kControl, message);
-    if (!needs_layout) continue;
-    relay.layout.sent = layout_.version;
-    relay.layout.sent_at = Now();
+    if (needs_layout)
+      SendLayout(&relay, message, Now());
+    else
+      relay.link->Send(FrameType::kControl, message);
   }
 }
 
@@ -182,47 +138,6 @@
   host_->SendToAll(FrameType::kControl, PackFleetMessage(push));
 }
 
-/// Pushes the newest of several layouts: replaying the log applies many, and
-/// relays may have little bandwidth.
-void FleetController::PushLayout(Time now) {
-  if (!layout_due_ || now < next_layout_push_) return;
-  layout_due_ = false;
-  next_layout_push_ = now + kLayoutPushInterval;
-  DirectoryPush whole = BarePush();
-  whole.layout = layout_;
-  DirectoryPush change = BarePush();
-  change.layout_change =
-      LayoutChange{pushed_.version, layout_.version,
-                   MakeTextDelta(pushed_.text, layout_.text)};
-  std::map<bool, std::string> packed;
-  std::map<bool, std::string> packed_change;
-  size_t changes = 0;
-  size_t wholes = 0;
-  size_t unconfirmed = 0;
-  size_t bytes = 0;
-  for (auto& [key, relay] : relays_) {
-    if (relay.layout.sent >= layout_.version) continue;
-    bool has_base = relay.takes_changes && relay.layout.sent == pushed_.version;
-    const std::string& message = has_base
-                                     ? PackedFor(relay, change, &packed_change)
-                                     : PackedFor(relay, whole, &packed);
-    if (IsUnconfirmed(relay.layout)) ++unconfirmed;
-    ++(has_base ? changes : wholes);
-    bytes += message.size();
-    relay.link->Send(FrameType::kControl, message);
-    relay.layout.sent = layout_.version;
-    relay.layout.sent_at = now;
-  }
-  pushed_ = layout_;
-  if (changes + wholes == 0) return;
-  LogLine(LogLevel::kInfo, "layout_pushed")
-      .Field("version", layout_.version)
-      .Field("changes", changes)
-      .Field("whole", wholes)
-      .Field("bytes", bytes)
-      .Field("unconfirmed", unconfirmed);
-}
-
 /// Sends all relays to another member, since this one no longer learns what the
 /// quorum accepts.
 void FleetController::SendFarewells() {
--- a/fleet/test/replacement_fixture.h
+++ b/fleet/test/replacement_fixture.h
@@ -32,7 +32,7 @@
       if (push.layout->version < version) went_back = true;
       version = push.layout->version;
       link->SetLayoutVersion(version);
-      link->ConfirmLayout();
+      link->ConfirmLayout(version);
     };
     params.on_lease = [this](const PrimaryLeaseGrant& grant) {
       for (const auto& [group, endpoint] : grant.primaries)
