Spread relays over all control members

One member then carries the pushes, leases and reports of most relays, and its loss makes them all look for another one.

Each relay now has an order of members of its own (rendezvous hash) and moves to the first after 3 to 6 s, then checks every 20 to 40 s. It keeps its link until the other member pushes to it, so a member that is silent or without a quorum costs nothing. The hash of holders is shared.

relays_that_came_to_one_member_spread_over_all and a_relay_stays_while_the_member_it_prefers_is_silent fail without the move.

--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -2,7 +2,10 @@
 /// endpoints and other relays. Runs on the control thread.
 ///
 /// Any control member can serve a relay. A member that loses contact with the
-/// quorum sends `Farewell`, and the relay then connects to another one.
+/// quorum sends `Farewell`, and the relay then connects to another one. From
+/// time to time it moves to the member that it prefers (RankMembers), so that
+/// relays stay spread over the members; it keeps its link until the other
+/// member serves it.
 #ifndef CARDAMOMCHUTE_FLEET_CONTROL_LINK_H_
 #define CARDAMOMCHUTE_FLEET_CONTROL_LINK_H_
 
@@ -55,19 +58,37 @@
   void Stop();
 
  private:
+  using LinkPtr = std::shared_ptr<Link>;
+
   void Tick();
   void Dial();
-  void OnDialled(const Address& address, std::shared_ptr<Link> link);
-  void OnFrame(std::string_view body);
+  void Connect(const Address& address,
+               void (ControlLink::*done)(const Address&, LinkPtr));
+  void OnDialled(const Address& address, LinkPtr link);
+  void ReviewMember(Time now);
+  void OnPreferredDialled(const Address& address, LinkPtr link);
+  void MoveToPreferred();
+  void DropPreferred(const std::string& reason);
+  void StartLink(const LinkPtr& link);
+  void OnFrame(const LinkPtr& link, std::string_view body);
   void OnPush(DirectoryPush push);
+  void OnLost(const LinkPtr& link, const std::string& reason);
   void Lose(const std::string& reason);
   void SendReport();
   RelayReport MakeReport() const;
+  uint64_t Random(uint64_t salt) const;
+  Time SpreadAfter(Duration delay) const;
   void RecordFailure();
 
   ControlLinkParams params_;
   boost::asio::steady_timer timer_;
-  std::shared_ptr<Link> link_;
+  LinkPtr link_;
+  Address member_;  ///< at the other end of `link_`
+  /// To the preferred member, which has not pushed anything yet.
+  LinkPtr preferred_link_;
+  Address preferred_;
+  Time preferred_until_;
+  Time next_review_;
   std::vector<Address> members_;  ///< from the last push or farewell
   size_t next_member_ = 0;
   bool dialling_ = false;
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cardamomchute/base/log.h"
+#include "cardamomchute/policy/control_choice.h"
 #include "cardamomchute/policy/dial_backoff.h"
 
 namespace cardamomchute {
@@ -16,6 +17,11 @@
 constexpr Duration kDialTimeout = Millis(250);
 /// Spreads consecutive values of a hash.
 constexpr uint64_t kHashPrime = 0x9E3779B97F4A7C15ULL;
+/// Time on a member before the first check whether another one is preferred.
+constexpr Duration kFirstReview = Seconds(3);
+constexpr Duration kReviewInterval = Seconds(20);
+/// Time for the preferred member to serve this relay.
+constexpr Duration kMoveTimeout = Seconds(1);
 constexpr LinkTiming kTiming = {Millis(400), Millis(1600)};
 
 uint64_t WallClockMs() {
@@ -28,10 +34,7 @@
 }  // namespace
 
 ControlLink::ControlLink(ControlLinkParams params)
-    : params_(std::move(params)), timer_(*params_.io), run_ms_(WallClockMs()) {
-  // The hash distributes relays over the control members.
-  next_member_ = std::hash<std::string>()(params_.vm.value());
-}
+    : params_(std::move(params)), timer_(*params_.io), run_ms_(WallClockMs()) {}
 
 void ControlLink::Start() { Tick(); }
 
@@ -39,6 +42,7 @@
   if (stopped_) return;
   Time now = Now();
   if (link_ && now >= next_report_) SendReport();
+  ReviewMember(now);
   if (!link_ && !dialling_ && now >= next_dial_) Dial();
   timer_.expires_after(std::chrono::milliseconds(kTick.ms()));
   std::weak_ptr<ControlLink> weak = weak_from_this();
@@ -50,23 +54,32 @@
 
 /// Tries the members of the last push first, then the configured seeds.
 void ControlLink::Dial() {
-  std::vector<Address> candidates = members_;
-  for (const Address& seed : params_.seeds()) {
+  std::vector<Address> candidates = RankMembers(params_.vm, members_);
+  for (const Address& seed : RankMembers(params_.vm, params_.seeds())) {
     bool known = std::find(candidates.begin(), candidates.end(), seed) !=
                  candidates.end();
     if (!known) candidates.push_back(seed);
   }
   if (candidates.empty()) return;
-  dialling_ = true;
   next_dial_ = Now() + kDialDelayMin;
-  Address address = candidates[next_member_++ % candidates.size()];
+  Connect(candidates[next_member_++ % candidates.size()],
+          &ControlLink::OnDialled);
+}
+
+void ControlLink::Connect(const Address& address,
+                          void (ControlLink::*done)(const Address&, LinkPtr)) {
+  dialling_ = true;
   std::weak_ptr<ControlLink> weak = weak_from_this();
   ConnectLink(
       params_.io->get_executor(), address, kDialTimeout,
-      [weak, address](std::shared_ptr<Link> link) {
+      [weak, address, done](LinkPtr link) {
         std::shared_ptr<ControlLink> self = weak.lock();
-        if (self) return self->OnDialled(address, std::move(link));
-        if (link) link->Close();
+        if (!self || self->stopped_) {
+          if (link) link->Close();
+          return;
+        }
+        self->dialling_ = false;
+        (self.get()->*done)(address, std::move(link));
       },
       kTiming);
 }
@@ -82,32 +95,91 @@
   if (!dialling_) Dial();
 }
 
-void ControlLink::OnDialled(const Address& address,
-                            std::shared_ptr<Link> link) {
-  dialling_ = false;
+void ControlLink::OnDialled(const Address& address, LinkPtr link) {
   if (!link) return RecordFailure();
-  if (stopped_) return link->Close();
-  link_ = link;
+  if (link_) return link->Close();  // the preferred member serves this relay
+  link_ = std::move(link);
+  member_ = address;
+  next_review_ = SpreadAfter(kFirstReview);
   LogLine(LogLevel::kInfo, "control_link_up")
       .Field("member", ToString(address));
+  StartLink(link_);
+  SendReport();
+}
+
+/// Connects to the preferred member if another one serves this relay.
+void ControlLink::ReviewMember(Time now) {
+  if (preferred_link_ && now >= preferred_until_)
+    return DropPreferred("the member does not serve this relay");
+  bool due = link_ && !preferred_link_ && !dialling_ && now >= next_review_;
+  if (!due || members_.empty() || draining_) return;
+  next_review_ = SpreadAfter(kReviewInterval);
+  Address best = RankMembers(params_.vm, members_).front();
+  if (best != member_) Connect(best, &ControlLink::OnPreferredDialled);
+}
+
+void ControlLink::OnPreferredDialled(const Address& address, LinkPtr link) {
+  if (!link) return;
+  preferred_link_ = std::move(link);
+  preferred_ = address;
+  preferred_until_ = Now() + kMoveTimeout;
+  StartLink(preferred_link_);
+  preferred_link_->Send(FrameType::kControl, PackFleetMessage(MakeReport()));
+}
+
+void ControlLink::MoveToPreferred() {
+  LogLine(LogLevel::kInfo, "control_link_moved")
+      .Field("from", ToString(member_))
+      .Field("member", ToString(preferred_));
+  if (link_) link_->Close();
+  link_ = std::exchange(preferred_link_, nullptr);
+  member_ = preferred_;
+  next_member_ = 1;
+}
+
+void ControlLink::DropPreferred(const std::string& reason) {
+  LogLine(LogLevel::kInfo, "control_link_kept")
+      .Field("member", ToString(member_))
+      .Field("preferred", ToString(preferred_))
+      .Field("reason", reason);
+  preferred_link_->Close();
+  preferred_link_ = nullptr;
+}
+
+void ControlLink::StartLink(const LinkPtr& link) {
   std::weak_ptr<ControlLink> weak = weak_from_this();
+  std::weak_ptr<Link> weak_link = link;
   link->Start(
-      [weak](FrameType type, std::string_view body) {
+      [weak, weak_link](FrameType type, std::string_view body) {
         std::shared_ptr<ControlLink> self = weak.lock();
-        if (self && type == FrameType::kControl) self->OnFrame(body);
+        LinkPtr from = weak_link.lock();
+        if (self && from && type == FrameType::kControl)
+          self->OnFrame(from, body);
       },
-      [weak](const std::string& reason) {
+      [weak, weak_link](const std::string& reason) {
         std::shared_ptr<ControlLink> self = weak.lock();
-        if (self) self->Lose(reason);
+        LinkPtr lost = weak_link.lock();
+        if (self && lost) self->OnLost(lost, reason);
       });
-  SendReport();
+}
+
+/// Differs between relays, and between values of `salt`.
+uint64_t ControlLink::Random(uint64_t salt) const {
+  uint64_t hash = std::hash<std::string>()(params_.vm.value()) + salt;
+  return hash * kHashPrime >> 33;
+}
+
+/// Returns a time from now, up to twice `delay` from now, so that relays do not
+/// act together.
+Time ControlLink::SpreadAfter(Duration delay) const {
+  uint64_t extra = Random(sequence_) % static_cast<uint64_t>(delay.ms());
+  return Now() + delay + Millis(static_cast<int64_t>(extra));
 }
 
 /// Delays the next attempt, and longer after each failure in a row.
 void ControlLink::RecordFailure() {
   ++failures_;
-  uint64_t random = std::hash<std::string>()(params_.vm.value()) + failures_;
-  next_dial_ = Now() + DialDelay(failures_, random * kHashPrime >> 33);
+  next_dial_ = Now() + DialDelay(failures_, Random(failures_));
 }
 
 RelayReport ControlLink::MakeReport() const {
@@ -137,11 +209,17 @@
   link_->Send(FrameType::kControl, PackFleetMessage(MakeReport()));
 }
 
-void ControlLink::OnFrame(std::string_view body) {
+void ControlLink::OnFrame(const LinkPtr& link, std::string_view body) {
   Result<FleetMessage> message = UnpackFleetMessage(body);
-  if (!message) return Lose(ToString(message.error()));
-  if (auto* push = std::get_if<DirectoryPush>(&message.value()))
-    return OnPush(std::move(*push));
+  if (!message) return OnLost(link, ToString(message.error()));
+  auto* push = std::get_if<DirectoryPush>(&message.value());
+  if (link == preferred_link_) {
+    if (push == nullptr)
+      return DropPreferred("the member has lost contact with the quorum");
+    MoveToPreferred();
+  }
+  if (link != link_) return;
+  if (push != nullptr) return OnPush(std::move(*push));
   if (const auto* grant = std::get_if<PrimaryLeaseGrant>(&message.value()))
     return params_.on_lease(*grant);
   if (const auto* farewell = std::get_if<Farewell>(&message.value())) {
@@ -167,6 +245,11 @@
   if (taken) layout_ = std::move(*push.layout);
 }
 
+void ControlLink::OnLost(const LinkPtr& link, const std::string& reason) {
+  if (link == preferred_link_) return DropPreferred(reason);
+  if (link == link_) Lose(reason);
+}
+
 void ControlLink::Lose(const std::string& reason) {
   if (!link_) return;
   LogLine(LogLevel::kInfo, "control_link_lost").Field("reason", reason);
@@ -195,8 +278,11 @@
 void ControlLink::Stop() {
   stopped_ = true;
   timer_.cancel();
-  if (link_) link_->Close();
+  for (const LinkPtr& link : {link_, preferred_link_}) {
+    if (link) link->Close();
+  }
   link_ = nullptr;
+  preferred_link_ = nullptr;
 }
 
 }  // namespace cardamomchute
--- a/fleet/test/control_link-test.cc
+++ b/fleet/test/control_link-test.cc
@@ -2,9 +2,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
 #include <vector>
 
+#include "cardamomchute/policy/control_choice.h"
 #include "cardamomchute/policy/dial_backoff.h"
+#include "replacement_fixture.h"
 
 namespace cardamomchute {
 namespace {
@@ -33,6 +37,56 @@
   std::vector<Time> accepted;
 };
 
+/// A control member that serves relays or, if `silent`, only accepts them.
+struct FakeMember {
+  FakeMember(boost::asio::io_context* io, bool is_silent)
+      : silent(is_silent),
+        acceptor(*io,
+                 tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
+    Accept();
+  }
+  ~FakeMember() {
+    for (const std::shared_ptr<Link>& link : links) link->Close();
+  }
+  Address ListenAddress() const {
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+  void Accept() {
+    acceptor.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket) {
+          if (error) return;
+          links.push_back(std::make_shared<Link>(std::move(socket)));
+          links.back()->Start(
+              [this](FrameType type, std::string_view) { OnFrame(type); },
+              [this](const std::string&) { ++lost; });
+          Accept();
+        });
+  }
+  void OnFrame(FrameType type) {
+    if (type != FrameType::kControl) return;
+    ++reports;
+    if (silent) return;
+    DirectoryPush push;
+    push.members = members;
+    links.back()->Send(FrameType::kControl, PackFleetMessage(push));
+  }
+
+  bool silent;
+  tcp::acceptor acceptor;
+  std::vector<Address> members;  ///< named to relays
+  std::vector<std::shared_ptr<Link>> links;
+  size_t reports = 0;
+  size_t lost = 0;
+};
+
+/// Returns the name of a relay that prefers the first of `members`.
+VmId RelayThatPrefersFirst(const std::vector<Address>& members) {
+  for (int i = 0;; ++i) {
+    VmId relay("relay-" + std::to_string(i));
+    if (RankMembers(relay, members).front() == members.front()) return relay;
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(control_link)
 
 BOOST_AUTO_TEST_CASE(a_relay_dials_members_that_fail_less_and_less_often) {
@@ -61,6 +115,62 @@
   link->Stop();
 }
 
+BOOST_AUTO_TEST_CASE(relays_that_came_to_one_member_spread_over_all) {
+  FleetControllerCluster cluster(3);
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  std::vector<Address> members;
+  for (size_t i = 0; i < 3; ++i) members.push_back(cluster.AddressOf(i));
+  std::vector<size_t> expected(3);
+  std::vector<std::unique_ptr<Listener>> relays;
+  for (int i = 0; i < 12; ++i) {
+    std::string name = "relay-" + std::to_string(i);
+    relays.push_back(std::make_unique<Listener>(&cluster, name, 0));
+    Address first = RankMembers(VmId(name), members).front();
+    for (size_t m = 0; m < 3; ++m) expected[m] += members[m] == first ? 1 : 0;
+  }
+  BOOST_REQUIRE(
+      cluster.RunUntil([&] { return cluster.At(0)->relays() == 12; }));
+  BOOST_TEST(cluster.RunUntil([&] {
+    for (size_t m = 0; m < 3; ++m) {
+      if (cluster.At(m)->relays() != expected[m]) return false;
+    }
+    return true;
+  }));
+  BOOST_REQUIRE((cluster.Put(LayoutText(2, "db")) == CallOutcome::kDone));
+  for (const std::unique_ptr<Listener>& relay : relays)
+    BOOST_TEST(cluster.RunUntil([&] { return relay->version == 2; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_stays_while_the_member_it_prefers_is_silent) {
+  boost::asio::io_context io;
+  FakeMember silent(&io, true);
+  FakeMember serving(&io, false);
+  serving.members = {silent.ListenAddress(), serving.ListenAddress()};
+  ControlLinkParams params;
+  params.io = &io;
+  params.vm = RelayThatPrefersFirst(serving.members);
+  params.peers = Address{"127.0.0.1", 1};
+  params.on_push = [](const DirectoryPush&) {};
+  Address seed = serving.ListenAddress();
+  params.seeds = [seed] { return std::vector<Address>{seed}; };
+  std::shared_ptr<ControlLink> link =
+      std::make_shared<ControlLink>(std::move(params));
+  link->Start();
+  auto run_until = [&io](const std::function<bool()>& done) {
+    Time limit = Now() + Seconds(20);
+    while (!done() && Now() < limit)
+      io.run_one_for(std::chrono::milliseconds(10));
+    return done();
+  };
+  BOOST_REQUIRE(run_until([&] { return silent.reports == 1; }));
+  BOOST_REQUIRE(run_until([&] { return silent.lost == 1; }));
+  size_t reports = serving.reports;
+  BOOST_TEST(run_until([&] { return serving.reports > reports; }));
+  BOOST_TEST(serving.links.size() == 1u);
+  BOOST_TEST(serving.lost == 0u);
+  link->Stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/policy/src/holders.cc
+++ b/policy/src/holders.cc
@@ -4,26 +4,12 @@
 #include <string>
 #include <tuple>
 
+#include "rendezvous.h"
+
 namespace cardamomchute {
 namespace {
 
-constexpr uint64_t kHashStart = 1469598103934665603ULL;
-constexpr uint64_t kHashPrime = 1099511628211ULL;
-
-/// Continues an FNV-1a hash with `text` and a separator.
-uint64_t Hash(uint64_t hash, const std::string& text) {
-  for (unsigned char c : text) hash = (hash ^ c) * kHashPrime;
-  return (hash ^ '/') * kHashPrime;
-}
-
-uint64_t Mix(uint64_t hash) {
-  hash ^= hash >> 33;
-  hash *= 0xff51afd7ed558ccdULL;
-  return hash ^ (hash >> 33);
-}
-
-/// A relay as a holder of one endpoint; the smallest is the best. Its weight is
-/// a rendezvous hash (FNV-1a with a final mix), equal on every VM.
+/// A relay as a holder of one endpoint; the smallest is the best.
 struct Candidate {
   bool far = false;
   uint32_t endpoints = 0;  ///< that it holds already
@@ -86,10 +72,13 @@
   std::vector<Candidate> candidates(relays.size());
   std::map<EndpointId, Holders> assigned;
   for (const EndpointRecord* endpoint : OrderedEndpoints(directory)) {
-    uint64_t prefix = Hash(kHashStart, ToString(endpoint->address));
+    uint64_t prefix =
+        detail::ContinueHash(detail::kHashStart, ToString(endpoint->address));
     for (uint32_t i = 0; i < relays.size(); ++i) {
-      candidates[i] = {relays[i]->zone != endpoint->zone, held[i],
-                       Mix(Hash(prefix, relays[i]->vm.value())), i};
+      candidates[i] = {
+          relays[i]->zone != endpoint->zone, held[i],
+          detail::MixHash(detail::ContinueHash(prefix, relays[i]->vm.value())),
+          i};
     }
     size_t count =
         std::min<size_t>(candidates.size(), endpoint->slots + kReserveHolders);
