Accept connections in one place, without spinning or dropping

Three of six accept loops tried again at once; the other three paused, two without a log line.

All six now use TcpListener (base): it logs accept_failed, waits 100 ms after a failure, and on a planned stop passes on all who have connected.

--- a/callers/src/caller_server.cc
+++ b/callers/src/caller_server.cc
@@ -9,6 +9,7 @@
 
 #include "caller_connection.h"
 #include "cardamomchute/base/log.h"
+#include "cardamomchute/base/tcp_listener.h"
 
 namespace cardamomchute {
 namespace {
@@ -16,12 +17,10 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr int kBacklog = 1024;
 constexpr size_t kReadBufferBytes = 64 * 1024;
 /// Connections beyond the admitted callers: still in startup, or cancelling.
 constexpr size_t kMaxUnadmitted = 1000;
 constexpr std::chrono::milliseconds kDrainPoll{20};
-constexpr std::chrono::milliseconds kAcceptPause{100};
 
 }  // namespace
 
@@ -29,29 +28,16 @@
  public:
   explicit Impl(CallerServerParams params)
       : params_(std::move(params)),
-        acceptor_(*params_.threads.front()),
+        listener_(std::make_shared<TcpListener>(params_.threads.front())),
         timer_(*params_.threads.front()),
         server_(std::make_shared<ServerState>(params_.metrics)) {
     for (size_t i = 0; i < params_.threads.size(); ++i) AddThread(i);
   }
 
   Status Start() {
-    boost::system::error_code error;
-    tcp::endpoint endpoint(asio::ip::make_address(params_.listen.host, error),
-                           params_.listen.port);
-    if (!error) acceptor_.open(endpoint.protocol(), error);
-    if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error) acceptor_.bind(endpoint, error);
-    if (!error) acceptor_.listen(kBacklog, error);
-    if (error) {
-      return Error{ErrorKind::kIo,
-                   "can't listen for callers on " + ToString(params_.listen) +
-                       ": " + error.message(),
-                   "set listen.callers to a free address of this VM"};
-    }
-    port_ = acceptor_.local_endpoint().port();
+    BOOST_OUTCOME_TRYV(listener_->Open(params_.listen, "listen.callers"));
     LogLine(LogLevel::kInfo, "callers_listening")
-        .Field("address", ToString(Address{params_.listen.host, port_}));
+        .Field("address", ToString(Address{params_.listen.host, port()}));
     asio::post(*params_.threads.front(),
                [self = shared_from_this()] { self->Accept(); });
     return Ok();
@@ -68,15 +54,14 @@
   void Stop() {
     server_->draining = true;
     asio::dispatch(*params_.threads.front(), [self = shared_from_this()] {
-      boost::system::error_code ignored;
-      self->acceptor_.close(ignored);
+      self->listener_->Close();
       self->timer_.cancel();
     });
     ForEachConnection([](CallerConnection* connection) { connection->Cut(); });
   }
 
   size_t callers() const { return server_->admitted.load(); }
-  uint16_t port() const { return port_; }
+  uint16_t port() const { return listener_->port(); }
 
  private:
   void AddThread(size_t i) {
@@ -93,33 +78,19 @@
   }
 
   void Accept() {
-    if (!acceptor_.is_open()) return;
-    std::shared_ptr<ThreadState> thread = threads_[next_thread_];
-    next_thread_ = (next_thread_ + 1) % threads_.size();
-    acceptor_.async_accept(
-        *thread->io,
-        [self = shared_from_this(), thread](
-            const boost::system::error_code& error, tcp::socket socket) {
-          self->OnAccept(error, std::move(socket), thread);
-        });
+    if (server_->draining) return;
+    std::weak_ptr<Impl> weak = weak_from_this();
+    listener_->Start(
+        [weak](tcp::socket socket) {
+          std::shared_ptr<Impl> self = weak.lock();
+          if (self) self->ServeNext(std::move(socket));
+        },
+        [this] { return threads_[next_thread_]->io; });
   }
 
-  void OnAccept(const boost::system::error_code& error, tcp::socket socket,
-                const std::shared_ptr<ThreadState>& thread) {
-    if (!acceptor_.is_open()) return;
-    if (error) return PauseAccept(error);
-    Serve(std::move(socket), thread);
-    Accept();
-  }
-
-  /// Out of descriptors or the like: accepting again at once would spin.
-  void PauseAccept(const boost::system::error_code& error) {
-    LogLine(LogLevel::kWarn, "accept_failed").Field("reason", error.message());
-    timer_.expires_after(kAcceptPause);
-    timer_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& failed) {
-          if (!failed) self->Accept();
-        });
+  void ServeNext(tcp::socket socket) {
+    Serve(std::move(socket), threads_[next_thread_]);
+    next_thread_ = (next_thread_ + 1) % threads_.size();
   }
 
   void Serve(tcp::socket socket, const std::shared_ptr<ThreadState>& thread) {
@@ -136,9 +107,8 @@
 
   void StartDrain(Duration timeout, std::function<void()> done) {
     server_->draining = true;
-    AcceptWaiting();
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    // Who has connected already is told that the VM stops.
+    listener_->Drain();
     LogLine(LogLevel::kInfo, "callers_draining")
         .Field("callers", server_->admitted.load());
     ForEachConnection(
@@ -148,18 +118,6 @@
     PollDrain();
   }
 
-  /// Takes who has connected already, to tell them that the VM stops.
-  void AcceptWaiting() {
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-      const std::shared_ptr<ThreadState>& thread = threads_.front();
-      tcp::socket socket(*thread->io);
-      acceptor_.accept(socket, error);
-      if (!error) Serve(std::move(socket), thread);
-    }
-  }
-
   void PollDrain() {
     bool over = server_->admitted == 0 || Now() >= drain_until_;
     if (over) {
@@ -195,12 +153,11 @@
   }
 
   CallerServerParams params_;
-  tcp::acceptor acceptor_;
+  std::shared_ptr<TcpListener> listener_;
   asio::steady_timer timer_;
   std::shared_ptr<ServerState> server_;
   std::vector<std::shared_ptr<ThreadState>> threads_;
   size_t next_thread_ = 0;
-  uint16_t port_ = 0;
   Time drain_until_;
   std::function<void()> drained_;
 };
--- a/http/src/http_server.cc
+++ b/http/src/http_server.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 
+#include "cardamomchute/base/tcp_listener.h"
 #include "http_route.h"
 
 namespace cardamomchute {
@@ -20,8 +21,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr Duration kAcceptRetry = Millis(100);
-
 std::chrono::milliseconds Wait(Duration duration) {
   return std::chrono::milliseconds(duration.ms());
 }
@@ -50,25 +49,22 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context* io, HttpLimits limits)
-      : io_(io), limits_(limits), acceptor_(*io), retry_(*io) {}
+      : limits_(limits), listener_(std::make_shared<TcpListener>(io)) {}
 
   Status Start(const Address& listen);
   void Stop();
   void CloseAll();
+  uint16_t port() const { return listener_->port(); }
 
   std::vector<HttpRoute> routes_;
-  uint16_t port_ = 0;
 
  private:
   class Session;
 
-  void Accept();
-  void OnAccept(error_code error, tcp::socket socket);
+  void Serve(tcp::socket socket);
 
-  asio::io_context* io_;
   HttpLimits limits_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer retry_;
+  std::shared_ptr<TcpListener> listener_;
   std::set<std::shared_ptr<Session>> sessions_;
   bool stopped_ = false;
 };
@@ -192,31 +188,19 @@
 };
 
 Status HttpServer::Impl::Start(const Address& listen) {
-  error_code error;
-  asio::ip::address host = asio::ip::make_address(listen.host, error);
-  if (!error) {
-    tcp::endpoint endpoint(host, listen.port);
-    acceptor_.open(endpoint.protocol(), error);
-    if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error) acceptor_.bind(endpoint, error);
-    if (!error) acceptor_.listen(tcp::acceptor::max_listen_connections, error);
-  }
-  if (error) {
-    return Error{ErrorKind::kIo,
-                 "can't listen at " + ToString(listen) + ": " + error.message(),
-                 "give listen.http an address of this VM that is free"};
-  }
-  port_ = acceptor_.local_endpoint().port();
-  Accept();
+  BOOST_OUTCOME_TRYV(listener_->Open(listen, "listen.http"));
+  std::weak_ptr<Impl> weak = weak_from_this();
+  listener_->Start([weak](tcp::socket socket) {
+    std::shared_ptr<Impl> self = weak.lock();
+    if (self && !self->stopped_) self->Serve(std::move(socket));
+  });
   return Ok();
 }
 
 void HttpServer::Impl::Stop() {
   if (stopped_) return;
   stopped_ = true;
-  error_code ignored;
-  acceptor_.close(ignored);
-  retry_.cancel();
+  listener_->Close();
   std::set<std::shared_ptr<Session>> sessions = sessions_;
   for (const std::shared_ptr<Session>& session : sessions)
     session->CloseIfIdle();
@@ -228,29 +212,12 @@
   for (const std::shared_ptr<Session>& session : sessions) session->Close();
 }
 
-void HttpServer::Impl::Accept() {
-  acceptor_.async_accept(
-      [self = shared_from_this()](error_code error, tcp::socket socket) {
-        self->OnAccept(error, std::move(socket));
-      });
-}
-
-void HttpServer::Impl::OnAccept(error_code error, tcp::socket socket) {
-  if (stopped_) return;
-  if (error) {
-    retry_.expires_after(Wait(kAcceptRetry));
-    retry_.async_wait([self = shared_from_this()](error_code stopped) {
-      if (!stopped && !self->stopped_) self->Accept();
-    });
-    return;
-  }
-  if (sessions_.size() < limits_.connections) {
-    std::shared_ptr<Session> session =
-        std::make_shared<Session>(std::move(socket), shared_from_this());
-    sessions_.insert(session);
-    session->Read();
-  }
-  Accept();
+void HttpServer::Impl::Serve(tcp::socket socket) {
+  if (sessions_.size() >= limits_.connections) return;
+  std::shared_ptr<Session> session =
+      std::make_shared<Session>(std::move(socket), shared_from_this());
+  sessions_.insert(session);
+  session->Read();
 }
 
 HttpServer::HttpServer(asio::io_context* io, HttpLimits limits)
@@ -266,6 +233,6 @@
 
 void HttpServer::Stop() { impl_->Stop(); }
 
-uint16_t HttpServer::port() const { return impl_->port_; }
+uint16_t HttpServer::port() const { return impl_->port(); }
 
 }  // namespace cardamomchute
--- a/peers/include/cardamomchute/peers/channel_mesh.h
+++ b/peers/include/cardamomchute/peers/channel_mesh.h
@@ -16,6 +16,7 @@
 
 #include "cardamomchute/base/error.h"
 #include "cardamomchute/base/ids.h"
+#include "cardamomchute/base/tcp_listener.h"
 #include "cardamomchute/channel/channel.h"
 #include "cardamomchute/peers/link.h"
 
@@ -101,23 +102,23 @@
   MeshListener(boost::asio::io_context* thread,
                std::vector<std::shared_ptr<ChannelMesh>> meshes,
                std::vector<boost::asio::io_context*> mesh_threads);
+  ~MeshListener();
+  MeshListener(const MeshListener&) = delete;
+  MeshListener& operator=(const MeshListener&) = delete;
 
   /// Returns kIo if the address cannot be bound.
   Status Listen(const Address& address);
   /// The port that was bound; differs from the requested one if that was 0.
-  uint16_t port() const { return port_; }
+  uint16_t port() const { return listener_->port(); }
   void Close();
 
  private:
-  void Accept();
-  void AcceptLater();
+  void Assign(boost::asio::ip::tcp::socket socket);
 
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer retry_;
+  std::shared_ptr<TcpListener> listener_;
   std::vector<std::shared_ptr<ChannelMesh>> meshes_;
   std::vector<boost::asio::io_context*> mesh_threads_;
-  size_t next_ = 0;
-  uint16_t port_ = 0;
+  size_t next_ = 0;  ///< mesh of the next connection
 };
 
 }  // namespace cardamomchute
--- a/peers/include/cardamomchute/peers/quorum_host.h
+++ b/peers/include/cardamomchute/peers/quorum_host.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "cardamomchute/base/settings.h"
+#include "cardamomchute/base/tcp_listener.h"
 #include "cardamomchute/peers/link.h"
 #include "cardamomchute/peers/log_store.h"
 #include "cardamomchute/peers/quorum_messages.h"
@@ -132,7 +133,6 @@
              std::unique_ptr<LogStore> store);
 
   Status Listen();
-  void Accept();
   void HandleConnection(boost::asio::ip::tcp::socket socket);
   void OnFrame(const LinkPtr& link, FrameType type, std::string_view body);
   void OnEnvelope(const QuorumEnvelope& envelope);
@@ -157,7 +157,7 @@
   boost::asio::io_context& io_;
   QuorumHostSettings settings_;
   std::unique_ptr<LogStore> store_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  std::shared_ptr<TcpListener> listener_;
   boost::asio::steady_timer timer_;
   std::vector<ControlSeed> seeds_;
   QuorumHooks hooks_;
--- a/peers/src/channel_mesh.cc
+++ b/peers/src/channel_mesh.cc
@@ -16,7 +16,6 @@
 using boost::system::error_code;
 
 /// Delay before accepting again after an error.
-constexpr Duration kAcceptRetry = Millis(50);
 
 /// A request, or the response to the request of the same number.
 struct RequestFrame {
@@ -308,60 +307,29 @@
 MeshListener::MeshListener(asio::io_context* thread,
                            std::vector<std::shared_ptr<ChannelMesh>> meshes,
                            std::vector<asio::io_context*> mesh_threads)
-    : acceptor_(*thread),
-      retry_(*thread),
+    : listener_(std::make_shared<TcpListener>(thread)),
       meshes_(std::move(meshes)),
       mesh_threads_(std::move(mesh_threads)) {}
 
+MeshListener::~MeshListener() { Close(); }
+
 Status MeshListener::Listen(const Address& address) {
-  error_code error;
-  asio::ip::address ip = asio::ip::make_address(address.host, error);
-  tcp::endpoint endpoint(ip, address.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return Error{
-        ErrorKind::kIo,
-        "cannot listen at " + ToString(address) + ": " + error.message(),
-        "free the port or change listen.peers"};
-  }
-  port_ = acceptor_.local_endpoint().port();
-  Accept();
+  BOOST_OUTCOME_TRYV(listener_->Open(address, "listen.peers"));
+  listener_->Start([this](tcp::socket socket) { Assign(std::move(socket)); },
+                   [this] { return mesh_threads_[next_]; });
   return Ok();
 }
 
-void MeshListener::Accept() {
-  size_t index = next_++ % meshes_.size();
-  acceptor_.async_accept(*mesh_threads_[index],
-                         [this, index](error_code error, tcp::socket socket) {
-                           if (error == asio::error::operation_aborted) return;
-                           if (error) return AcceptLater();
-                           std::shared_ptr<ChannelMesh> mesh = meshes_[index];
-                           std::shared_ptr<tcp::socket> accepted =
-                               std::make_shared<tcp::socket>(std::move(socket));
-                           asio::post(*mesh_threads_[index], [mesh, accepted] {
-                             mesh->AddInbound(std::move(*accepted));
-                           });
-                           Accept();
-                         });
-}
-
-void MeshListener::AcceptLater() {
-  // The likely cause is a lack of file descriptors, which closing connections
-  // release.
-  retry_.expires_after(std::chrono::milliseconds(kAcceptRetry.ms()));
-  retry_.async_wait([this](error_code error) {
-    if (!error) Accept();
-  });
+/// Gives a connection to the mesh that it was accepted for.
+void MeshListener::Assign(tcp::socket socket) {
+  std::shared_ptr<ChannelMesh> mesh = meshes_[next_];
+  std::shared_ptr<tcp::socket> accepted =
+      std::make_shared<tcp::socket>(std::move(socket));
+  asio::post(*mesh_threads_[next_],
+             [mesh, accepted] { mesh->AddInbound(std::move(*accepted)); });
+  next_ = (next_ + 1) % meshes_.size();
 }
 
-void MeshListener::Close() {
-  error_code ignored;
-  acceptor_.close(ignored);
-  retry_.cancel();
-}
+void MeshListener::Close() { listener_->Close(); }
 
 }  // namespace cardamomchute
--- a/peers/src/quorum_host.cc
+++ b/peers/src/quorum_host.cc
@@ -38,7 +38,7 @@
     : io_(io),
       settings_(std::move(settings)),
       store_(std::move(store)),
-      acceptor_(io),
+      listener_(std::make_shared<TcpListener>(&io)),
       timer_(io),
       quorum_(MakeQuorum(store_->self(), store_->TakeStored(), settings_.timing,
                          RandomSeed(), Now())) {}
@@ -46,25 +46,11 @@
 QuorumHost::~QuorumHost() = default;
 
 Status QuorumHost::Listen() {
-  error_code error;
-  asio::ip::address ip = asio::ip::make_address(settings_.listen.host, error);
-  tcp::endpoint endpoint(ip, settings_.listen.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (!error) return Ok();
-  return Error{
-      ErrorKind::kIo,
-      "cannot listen on " + ToString(settings_.listen) + ": " + error.message(),
-      "set member.listen to a free address of this VM"};
+  return listener_->Open(settings_.listen, "member.listen");
 }
 
 Address QuorumHost::address() const {
-  error_code error;
-  tcp::endpoint endpoint = acceptor_.local_endpoint(error);
-  return Address{settings_.listen.host, endpoint.port()};
+  return Address{settings_.listen.host, listener_->port()};
 }
 
 void QuorumHost::Start(std::vector<ControlSeed> seeds, QuorumHooks hooks) {
@@ -97,15 +83,17 @@
       .Field("term", quorum_.vote.term)
       .Field("last_index", LastIndex(quorum_))
       .Field("snapshot_index", quorum_.snapshot.last_index);
-  Accept();
+  listener_->Start([weak](tcp::socket socket) {
+    std::shared_ptr<QuorumHost> self = weak.lock();
+    if (self) self->HandleConnection(std::move(socket));
+  });
   Tick();
 }
 
 void QuorumHost::Stop() {
   if (stopped_) return;
   stopped_ = true;
-  error_code ignored;
-  acceptor_.close(ignored);
+  listener_->Close();
   timer_.cancel();
   if (std::exchange(leading_, false)) hooks_.on_leadership_change(false);
   for (auto& [key, link] : inbound_) link->Close();
@@ -132,15 +120,6 @@
 
 // ---- links ---------------------------------------------------------------
 
-void QuorumHost::Accept() {
-  std::shared_ptr<QuorumHost> self = shared_from_this();
-  acceptor_.async_accept([self](error_code error, tcp::socket socket) {
-    if (self->stopped_) return;
-    if (!error) self->HandleConnection(std::move(socket));
-    self->Accept();
-  });
-}
-
 void QuorumHost::HandleConnection(tcp::socket socket) {
   LinkPtr link = std::make_shared<Link>(std::move(socket));
   inbound_[link.get()] = link;
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "cardamomchute/base/tcp_listener.h"
 #include "cardamomchute/policy/directory.h"
 #include "cardamomchute/policy/holders.h"
 #include "cardamomchute/policy/layout.h"
@@ -96,7 +97,7 @@
     Time at;
   };
 
-  void Accept();
+  void TakeCaller(boost::asio::ip::tcp::socket socket);
   void AssignSoon();
   void Assign();
   void UpdatePools();
@@ -126,7 +127,7 @@
 
   RelayParams params_;
   RelayMetrics metrics_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  std::shared_ptr<TcpListener> listener_;  ///< for callers
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer drain_timer_;
   boost::asio::steady_timer assign_timer_;
--- a/relay/include/cardamomchute/relay/relay_mesh.h
+++ b/relay/include/cardamomchute/relay/relay_mesh.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cardamomchute/base/error.h"
+#include "cardamomchute/base/tcp_listener.h"
 #include "cardamomchute/peers/link.h"
 #include "cardamomchute/relay/run.h"
 
@@ -64,7 +65,6 @@
     Time pinged;
   };
 
-  void Accept();
   void TakeConnection(boost::asio::ip::tcp::socket socket);
   void OnInbound(const LinkPtr& link, std::string_view body);
   void OnOutbound(const Address& from, std::string_view body);
@@ -78,7 +78,7 @@
   boost::asio::io_context* io_;
   VmId self_;
   MeshHandlers handlers_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  std::shared_ptr<TcpListener> listener_;
   boost::asio::steady_timer timer_;
   bool watching_ = false;
   bool closed_ = false;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -41,14 +41,13 @@
 constexpr Duration kLagPauseMax = Millis(400);
 /// A pool that nobody uses is closed after this long.
 constexpr Duration kPoolIdle = Seconds(10);
-constexpr int kBacklog = 4096;
 
 }  // namespace
 
 Relay::Relay(RelayParams params)
     : params_(std::move(params)),
       metrics_(params_.metrics),
-      acceptor_(*params_.io),
+      listener_(std::make_shared<TcpListener>(params_.io)),
       timer_(*params_.io),
       drain_timer_(*params_.io),
       assign_timer_(*params_.io) {}
@@ -58,20 +57,12 @@
 Status Relay::Start() {
   mesh_ = std::make_shared<RelayMesh>(params_.io, params_.vm, Handlers());
   BOOST_OUTCOME_TRYV(mesh_->Listen(params_.peers));
-  error_code error;
-  asio::ip::address ip = asio::ip::make_address(params_.callers.host, error);
-  tcp::endpoint endpoint(ip, params_.callers.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error) acceptor_.listen(kBacklog, error);
-  if (error) {
-    return Error{ErrorKind::kIo,
-                 "cannot listen on " + ToString(params_.callers) + ": " +
-                     error.message(),
-                 "set listen.callers to a free address of this VM"};
-  }
-  Accept();
+  BOOST_OUTCOME_TRYV(listener_->Open(params_.callers, "listen.callers"));
+  std::weak_ptr<Relay> weak = weak_from_this();
+  listener_->Start([weak](tcp::socket socket) {
+    std::shared_ptr<Relay> self = weak.lock();
+    if (self) self->TakeCaller(std::move(socket));
+  });
   ScheduleSweep();
   return Ok();
 }
@@ -114,20 +105,11 @@
   return handlers;
 }
 
-void Relay::Accept() {
-  std::weak_ptr<Relay> weak = weak_from_this();
-  acceptor_.async_accept([weak](error_code error, tcp::socket socket) {
-    std::shared_ptr<Relay> self = weak.lock();
-    if (!self || !self->acceptor_.is_open()) return;
-    if (!error) {
-      std::shared_ptr<RelayedSession> session =
-          std::make_shared<RelayedSession>(std::move(socket), self.get(),
-                                           ++self->next_session_);
-      self->sessions_.insert(session);
-      session->Start();
-    }
-    self->Accept();
-  });
+void Relay::TakeCaller(tcp::socket socket) {
+  std::shared_ptr<RelayedSession> session = std::make_shared<RelayedSession>(
+      std::move(socket), this, ++next_session_);
+  sessions_.insert(session);
+  session->Start();
 }
 
 void Relay::Remove(const std::shared_ptr<RelayedSession>& session) {
@@ -526,8 +508,7 @@
 }
 
 void Relay::Stop() {
-  error_code ignored;
-  acceptor_.close(ignored);
+  listener_->Close();
   timer_.cancel();
   drain_timer_.cancel();
   assign_timer_.cancel();
--- a/relay/src/relay_mesh.cc
+++ b/relay/src/relay_mesh.cc
@@ -33,35 +33,17 @@
     : io_(io),
       self_(std::move(self)),
       handlers_(std::move(handlers)),
-      acceptor_(*io),
+      listener_(std::make_shared<TcpListener>(io)),
       timer_(*io) {}
 
 Status RelayMesh::Listen(const Address& address) {
-  error_code error;
-  asio::ip::address ip = asio::ip::make_address(address.host, error);
-  tcp::endpoint endpoint(ip, address.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return Error{
-        ErrorKind::kIo,
-        "cannot listen on " + ToString(address) + ": " + error.message(),
-        "set listen.peers to a free address of this VM"};
-  }
-  Accept();
-  return Ok();
-}
-
-void RelayMesh::Accept() {
-  std::shared_ptr<RelayMesh> self = shared_from_this();
-  acceptor_.async_accept([self](error_code error, tcp::socket socket) {
-    if (self->closed_) return;
-    if (!error) self->TakeConnection(std::move(socket));
-    self->Accept();
+  BOOST_OUTCOME_TRYV(listener_->Open(address, "listen.peers"));
+  std::weak_ptr<RelayMesh> weak = weak_from_this();
+  listener_->Start([weak](tcp::socket socket) {
+    std::shared_ptr<RelayMesh> self = weak.lock();
+    if (self) self->TakeConnection(std::move(socket));
   });
+  return Ok();
 }
 
 void RelayMesh::TakeConnection(tcp::socket socket) {
@@ -307,8 +289,7 @@
 
 void RelayMesh::Close() {
   closed_ = true;
-  error_code ignored;
-  acceptor_.close(ignored);
+  listener_->Close();
   timer_.cancel();
   for (auto& [to, peer] : peers_) {
     if (peer.link) peer.link->Close();
