Find endpoints by address and group without a pass over all

What callers see in large fleets: nothing is served, as control and relays are busy with the directory.

Cause: each announcement was compared with all endpoints, twice, for others at its address, at every steward: 1,250 announcements x 3,000 comparisons a second, and 4.5 million for each whole directory that a relay or steward was sent. The leader looked for the members of each group among all endpoints, 25 times a second; relays assigned holders with a pass over all relays for each endpoint, rebuilt the list of members and looked for their own endpoints at every push.

Change: Directory has indexes by address and by group; holders are chosen among the relays of the endpoint's zone, with the same result; a relay keeps the list of endpoints that it holds; records expire every 0.5 s instead of every 40 ms. indexes_follow_moves_restarts_and_expiry compares the indexes with a look at all records over 3,000 random steps.

--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -129,6 +129,7 @@
   static const std::string& PackedFor(const ConnectedRelay& relay,
                                       const FleetMessage& message,
                                       std::map<bool, std::string>* packed);
+  void ExpireRecords(Time now);
   void Flush();
   void PushLayout(Time now);
   /// Returns the layout in force as a difference from `base`.
@@ -156,7 +157,6 @@
   Time LeasesEndOf(const GroupId& group) const;
   void ConfirmAndRun(std::function<void(Time)> run);
   std::vector<EndpointRecord> CountedMembers(const GroupId& group) const;
-  std::set<GroupId> Groups() const;
   /// Returns the layout in force, parsed when it is first needed: replaying
   /// the log applies many. Null if there is none.
   const Layout* ParsedLayout() const;
@@ -198,6 +198,7 @@
   uint64_t changes_ = 0;  ///< primary changes in this control term
   uint64_t tokens_ = 0;   ///< fence tokens issued in this term
   Time next_flush_;
+  Time next_expiry_;
   bool out_of_touch_ = false;
 };
 
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -21,6 +21,8 @@
 constexpr QuorumTiming kTiming = {Millis(80), Millis(300), Millis(600),
                                   Seconds(2)};
 constexpr Duration kFirstElection = Millis(200);
+/// Interval between two searches for silent relays and old records.
+constexpr Duration kExpiryInterval = Millis(500);
 /// Minimum interval between two writes of the directory to disk.
 constexpr Duration kCacheInterval = Seconds(3);
 constexpr char kCacheFile[] = "directory";
@@ -219,15 +221,21 @@
   return true;
 }
 
+void FleetController::ExpireRecords(Time now) {
+  if (now < next_expiry_) return;
+  next_expiry_ = now + kExpiryInterval;
+  DirectoryDelta expired = Expire(directory_, now);
+  to_relays_.relays.insert(to_relays_.relays.end(), expired.relays.begin(),
+                           expired.relays.end());
+}
+
 void FleetController::OnTick(Time now) {
   bool has_leader_contact = host_->HasLeaderContact(now);
   if (!has_leader_contact && !out_of_touch_) SendFarewells();
   ServeWaiting(now, has_leader_contact);
   if (has_leader_contact) NotifyFormerRelays(now);
   out_of_touch_ = !has_leader_contact;
-  DirectoryDelta expired = Expire(directory_, now);
-  to_relays_.relays.insert(to_relays_.relays.end(), expired.relays.begin(),
-                           expired.relays.end());
+  ExpireRecords(now);
   if (host_->leading()) {
     rounds_.StartIfDue();
     ReviewPrimaries(now);
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -29,61 +29,56 @@
 
 }  // namespace
 
-std::set<GroupId> FleetController::Groups() const {
-  std::set<GroupId> groups;
-  const Layout* layout = ParsedLayout();
-  if (layout == nullptr) return groups;
-  for (const auto& [group, bounds] : layout->groups) groups.insert(group);
-  return groups;
-}
-
 std::vector<EndpointRecord> FleetController::CountedMembers(
     const GroupId& group) const {
   std::vector<EndpointRecord> counted;
   Time now = Now();
-  for (const EndpointRecord& member : MembersOf(directory_, group)) {
-    auto heard = directory_.endpoint_heard.find(member.id);
+  for (const EndpointRecord* member : MembersOf(directory_, group)) {
+    auto heard = directory_.endpoint_heard.find(member->id);
     bool lost = heard != directory_.endpoint_heard.end() &&
                 now - heard->second > kLostForGood;
-    if (!lost) counted.push_back(member);
+    if (!lost) counted.push_back(*member);
   }
   return counted;
 }
 
 void FleetController::ReviewPrimaries(Time now) {
-  for (const GroupId& group : Groups()) {
+  const Layout* layout = ParsedLayout();
+  if (layout == nullptr) return;
+  for (const auto& [group, limits] : layout->groups) {
     if (!successions_.contains(group)) ReviewPrimary(group, now);
   }
 }
 
 void FleetController::ReviewPrimary(const GroupId& group, Time now) {
-  std::vector<EndpointRecord> members = MembersOf(directory_, group);
-  std::vector<EndpointRecord> claimants;
-  for (const EndpointRecord& member : members) {
-    auto heard = directory_.endpoint_heard.find(member.id);
+  std::vector<const EndpointRecord*> members = MembersOf(directory_, group);
+  std::vector<const EndpointRecord*> claimants;
+  for (const EndpointRecord* member : members) {
+    if (!member->claims_primary) continue;
+    auto heard = directory_.endpoint_heard.find(member->id);
     bool fresh = heard != directory_.endpoint_heard.end() &&
                  now - heard->second < kClaimValid;
-    if (member.claims_primary && fresh) claimants.push_back(member);
+    if (fresh) claimants.push_back(member);
   }
   const EndpointRecord* primary = CurrentPrimary(directory_, group);
   auto known = directory_.primaries.find(group);
   bool never_known = known == directory_.primaries.end();
   if (never_known && claimants.size() == 1)
-    return SetPrimary(group, claimants.front().id, Term());
+    return SetPrimary(group, claimants.front()->id, Term());
   if (never_known && claimants.empty()) return;
   if (now < next_review_[group]) return;
   bool contradicted = primary == nullptr ||
                       std::any_of(claimants.begin(), claimants.end(),
-                                  [primary](const EndpointRecord& claimant) {
-                                    return claimant.id != primary->id;
+                                  [primary](const EndpointRecord* claimant) {
+                                    return claimant->id != primary->id;
                                   }) ||
                       (!primary->claims_primary &&
                        now >= primary_set_at_[group] + kContradictionInterval);
   if (primary != nullptr && primary->leaving) {
     bool can_follow =
         std::any_of(members.begin(), members.end(),
-                    [primary](const EndpointRecord& member) {
-                      return member.id != primary->id && !member.leaving;
+                    [primary](const EndpointRecord* member) {
+                      return member->id != primary->id && !member->leaving;
                     });
     if (can_follow)
       return StartSuccession(group, PrimaryReplacementCause::kLeaving);
--- a/policy/include/cardamomchute/policy/directory.h
+++ b/policy/include/cardamomchute/policy/directory.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,10 @@
   std::map<GroupId, PrimaryRecord> primaries;
   std::map<EndpointId, Time> endpoint_heard;
   std::map<VmId, Time> relay_heard;
+  /// Indexes of `endpoints`, kept by Merge and Expire. Announcements arrive by
+  /// the thousand a second, and each asks who else has its address.
+  std::map<Address, std::set<EndpointId>> endpoints_at;
+  std::map<GroupId, std::set<EndpointId>> endpoints_of;
 };
 
 /// A relay that has not reported for this long is marked as gone.
@@ -103,9 +108,10 @@
 /// Returns all records, for a peer without any.
 DirectoryDelta FullDelta(const Directory& directory);
 
-/// Returns the endpoints of a group that are not gone.
-std::vector<EndpointRecord> MembersOf(const Directory& directory,
-                                      const GroupId& group);
+/// Returns the endpoints of a group that are not gone. The pointers are valid
+/// until the directory changes.
+std::vector<const EndpointRecord*> MembersOf(const Directory& directory,
+                                             const GroupId& group);
 
 /// Returns the recorded primary, or null if it is unknown or gone.
 const EndpointRecord* CurrentPrimary(const Directory& directory,
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -31,14 +31,48 @@
          a.started_ms == b.started_ms;
 }
 
+template <typename Key>
+void RemoveFromIndex(std::map<Key, std::set<EndpointId>>* index, const Key& key,
+                     const EndpointId& id) {
+  auto found = index->find(key);
+  if (found == index->end()) return;
+  found->second.erase(id);
+  if (found->second.empty()) index->erase(found);
+}
+
+void RemoveFromIndexes(Directory& directory, const EndpointRecord& record) {
+  RemoveFromIndex(&directory.endpoints_at, record.address, record.id);
+  RemoveFromIndex(&directory.endpoints_of, record.group, record.id);
+}
+
+void Store(Directory& directory, const EndpointRecord& record, Time now) {
+  auto [known, is_new] = directory.endpoints.try_emplace(record.id, record);
+  bool moved = !is_new && (known->second.address != record.address ||
+                           known->second.group != record.group);
+  if (moved) RemoveFromIndexes(directory, known->second);
+  if (is_new || moved) {
+    directory.endpoints_at[record.address].insert(record.id);
+    directory.endpoints_of[record.group].insert(record.id);
+  }
+  known->second = record;
+  directory.endpoint_heard[record.id] = now;
+}
+
+const std::set<EndpointId>& EndpointsAt(const Directory& directory,
+                                        const Address& address) {
+  static const std::set<EndpointId> kNone;
+  auto found = directory.endpoints_at.find(address);
+  return found == directory.endpoints_at.end() ? kNone : found->second;
+}
+
 /// Marks older endpoints with the address of `now_there` as gone, since
 /// addresses are reused.
 void RemoveReplacedEndpoints(Directory& directory,
                              const EndpointRecord& now_there,
                              DirectoryDelta* changed) {
-  for (auto& [id, record] : directory.endpoints) {
+  for (const EndpointId& id : EndpointsAt(directory, now_there.address)) {
+    EndpointRecord& record = directory.endpoints.at(id);
     bool replaced = id != now_there.id && !record.gone &&
-                    record.address == now_there.address &&
                     record.started_ms < now_there.started_ms;
     if (!replaced) continue;
     record.gone = true;
@@ -47,13 +81,11 @@
 }
 
 bool AddressReused(const Directory& directory, const EndpointRecord& record) {
-  return std::any_of(directory.endpoints.begin(), directory.endpoints.end(),
-                     [&record](const auto& item) {
-                       const EndpointRecord& other = item.second;
-                       return other.id != record.id &&
-                              other.address == record.address &&
-                              other.started_ms > record.started_ms;
-                     });
+  const std::set<EndpointId>& there = EndpointsAt(directory, record.address);
+  return std::any_of(there.begin(), there.end(), [&](const EndpointId& other) {
+    return other != record.id &&
+           directory.endpoints.at(other).started_ms > record.started_ms;
+  });
 }
 
 }  // namespace
@@ -87,8 +119,7 @@
     }
     bool news = known == directory.endpoints.end() ||
                 !EqualForRouting(known->second, record);
-    directory.endpoints[record.id] = record;
-    directory.endpoint_heard[record.id] = now;
+    Store(directory, record, now);
     if (news) changed.endpoints.push_back(record);
     if (!record.gone) RemoveReplacedEndpoints(directory, record, &changed);
   }
@@ -134,6 +165,7 @@
     Duration silent = now - directory.endpoint_heard[it->first];
     if (it->second.gone && silent > kRemovedRecordRetention) {
       directory.endpoint_heard.erase(it->first);
+      RemoveFromIndexes(directory, it->second);
       it = directory.endpoints.erase(it);
       continue;
     }
@@ -152,11 +184,14 @@
   return whole;
 }
 
-std::vector<EndpointRecord> MembersOf(const Directory& directory,
-                                      const GroupId& group) {
-  std::vector<EndpointRecord> members;
-  for (const auto& [id, record] : directory.endpoints) {
-    if (record.group == group && !record.gone) members.push_back(record);
+std::vector<const EndpointRecord*> MembersOf(const Directory& directory,
+                                             const GroupId& group) {
+  std::vector<const EndpointRecord*> members;
+  auto ids = directory.endpoints_of.find(group);
+  if (ids == directory.endpoints_of.end()) return members;
+  for (const EndpointId& id : ids->second) {
+    const EndpointRecord& record = directory.endpoints.at(id);
+    if (!record.gone) members.push_back(&record);
   }
   return members;
 }
--- a/policy/src/holders.cc
+++ b/policy/src/holders.cc
@@ -22,10 +22,21 @@
   }
 };
 
-std::vector<const RelayRecord*> AvailableRelays(const Directory& directory) {
-  std::vector<const RelayRecord*> relays;
+/// The relays that may hold endpoints.
+struct Relays {
+  std::vector<const RelayRecord*> records;
+  std::vector<uint32_t> held;  ///< endpoints that each holds already
+  std::map<Zone, std::vector<uint32_t>> in_zone;  ///< indexes of `records`
+};
+
+Relays AvailableRelays(const Directory& directory) {
+  Relays relays;
   for (const auto& [vm, record] : directory.relays) {
-    if (!record.gone && !record.draining) relays.push_back(&record);
+    if (record.gone || record.draining) continue;
+    relays.in_zone[record.zone].push_back(
+        static_cast<uint32_t>(relays.records.size()));
+    relays.records.push_back(&record);
+    relays.held.push_back(0);
   }
   return relays;
 }
@@ -45,14 +56,49 @@
   return endpoints;
 }
 
+/// Adds the relays of `indexes` as candidates for the endpoint.
+void AddCandidates(const Relays& relays, const std::vector<uint32_t>& indexes,
+                   uint64_t prefix, bool far,
+                   std::vector<Candidate>* candidates) {
+  for (uint32_t index : indexes) {
+    uint64_t hash =
+        detail::ContinueHash(prefix, relays.records[index]->vm.value());
+    candidates->push_back(
+        {far, relays.held[index], detail::MixHash(hash), index});
+  }
+}
+
+/// Returns the `count` best relays for the endpoint, the best first. Relays of
+/// other availability zones are looked at only if its own has too few: a pass
+/// over all relays for each endpoint takes too long in large fleets.
+std::vector<uint32_t> BestRelays(const Relays& relays,
+                                 const EndpointRecord& endpoint, size_t count) {
+  uint64_t prefix =
+      detail::ContinueHash(detail::kHashStart, ToString(endpoint.address));
+  std::vector<Candidate> candidates;
+  auto near = relays.in_zone.find(endpoint.zone);
+  if (near != relays.in_zone.end())
+    AddCandidates(relays, near->second, prefix, false, &candidates);
+  if (candidates.size() < count) {
+    for (const auto& [zone, indexes] : relays.in_zone) {
+      if (zone == endpoint.zone) continue;
+      AddCandidates(relays, indexes, prefix, true, &candidates);
+    }
+  }
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<ptrdiff_t>(count),
+                    candidates.end());
+  std::vector<uint32_t> best;
+  for (size_t i = 0; i < count; ++i) best.push_back(candidates[i].index);
+  return best;
+}
+
 /// Fills active holders until they cover the slots, then reserve holders.
-/// Returns how many candidates became active.
-size_t Choose(const std::vector<const RelayRecord*>& relays,
-              const std::vector<Candidate>& best, size_t count, uint32_t slots,
-              Holders* holders) {
+void Choose(const std::vector<uint32_t>& best, uint32_t slots, Relays* relays,
+            Holders* holders) {
   uint32_t covered = 0;
-  for (size_t i = 0; i < count; ++i) {
-    const RelayRecord& relay = *relays[best[i].index];
+  for (uint32_t index : best) {
+    const RelayRecord& relay = *relays->records[index];
     if (covered >= slots) {
       if (holders->reserve.size() == kReserveHolders) break;
       holders->reserve.push_back(relay);
@@ -60,34 +106,20 @@
     }
     covered += std::max<uint32_t>(relay.slots_carried, 1);
     holders->active.push_back(relay);
+    ++relays->held[index];
   }
-  return holders->active.size();
 }
 
 }  // namespace
 
 std::map<EndpointId, Holders> AssignHolders(const Directory& directory) {
-  std::vector<const RelayRecord*> relays = AvailableRelays(directory);
-  std::vector<uint32_t> held(relays.size(), 0);
-  std::vector<Candidate> candidates(relays.size());
+  Relays relays = AvailableRelays(directory);
   std::map<EndpointId, Holders> assigned;
   for (const EndpointRecord* endpoint : OrderedEndpoints(directory)) {
-    uint64_t prefix =
-        detail::ContinueHash(detail::kHashStart, ToString(endpoint->address));
-    for (uint32_t i = 0; i < relays.size(); ++i) {
-      candidates[i] = {
-          relays[i]->zone != endpoint->zone, held[i],
-          detail::MixHash(detail::ContinueHash(prefix, relays[i]->vm.value())),
-          i};
-    }
-    size_t count =
-        std::min<size_t>(candidates.size(), endpoint->slots + kReserveHolders);
-    std::partial_sort(candidates.begin(),
-                      candidates.begin() + static_cast<ptrdiff_t>(count),
-                      candidates.end());
-    size_t active = Choose(relays, candidates, count, endpoint->slots,
-                           &assigned[endpoint->id]);
-    for (size_t i = 0; i < active; ++i) ++held[candidates[i].index];
+    size_t count = std::min<size_t>(relays.records.size(),
+                                    endpoint->slots + kReserveHolders);
+    std::vector<uint32_t> best = BestRelays(relays, *endpoint, count);
+    Choose(best, endpoint->slots, &relays, &assigned[endpoint->id]);
   }
   return assigned;
 }
--- a/policy/test/directory-test.cc
+++ b/policy/test/directory-test.cc
@@ -1,6 +1,10 @@
 #include "cardamomchute/policy/directory.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <set>
 
 #include "cardamomchute/policy/holders.h"
 
@@ -88,6 +92,49 @@
   BOOST_TEST(MembersOf(directory, GroupId("g")).empty());
 }
 
+/// The indexes must find what a look at all records finds.
+BOOST_AUTO_TEST_CASE(indexes_follow_moves_restarts_and_expiry) {
+  constexpr int kSteps = 3000;
+  std::mt19937 random(7);
+  auto pick = [&random](int count) {
+    return std::uniform_int_distribution<int>(0, count - 1)(random);
+  };
+  Directory directory;
+  Time now(0);
+  for (int step = 0; step < kSteps; ++step) {
+    now = now + Seconds(pick(3));
+    EndpointRecord record = Endpoint(
+        "e" + std::to_string(pick(12)), static_cast<uint16_t>(1 + pick(6)),
+        static_cast<uint64_t>(step / 100), static_cast<uint64_t>(step));
+    record.group = GroupId("g" + std::to_string(pick(4)));
+    record.gone = pick(5) == 0;
+    Merge(directory, Of(record), now);
+    if (pick(20) == 0) Expire(directory, now);
+    std::map<GroupId, std::set<EndpointId>> members;
+    std::map<Address, std::set<EndpointId>> at;
+    std::map<Address, uint64_t> newest;
+    for (const auto& [id, known] : directory.endpoints) {
+      at[known.address].insert(id);
+      if (known.gone) continue;
+      members[known.group].insert(id);
+      uint64_t& started = newest[known.address];
+      started = std::max(started, known.started_ms);
+    }
+    for (int g = 0; g < 4; ++g) {
+      GroupId group("g" + std::to_string(g));
+      std::set<EndpointId> found;
+      for (const EndpointRecord* member : MembersOf(directory, group))
+        found.insert(member->id);
+      BOOST_REQUIRE((found == members[group]));
+    }
+    BOOST_REQUIRE((directory.endpoints_at == at));
+    for (const auto& [id, known] : directory.endpoints) {
+      bool replaced = known.started_ms < newest[known.address];
+      BOOST_REQUIRE((!replaced || known.gone));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(merge_is_independent_of_the_order) {
   std::vector<EndpointRecord> records = {
       Endpoint("a", 1, 10, 1), Endpoint("a", 1, 10, 2), Endpoint("b", 1, 20, 1),
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -132,9 +132,8 @@
   boost::asio::steady_timer drain_timer_;
   boost::asio::steady_timer assign_timer_;
   Directory directory_;
-  /// Endpoints of each group that are not gone, as in `directory_`.
-  std::map<GroupId, std::vector<EndpointRecord>> members_;
   std::map<EndpointId, Holders> holders_;
+  std::vector<EndpointId> held_;  ///< endpoints of which this VM is a holder
   bool assign_due_ = false;
   Time assigned_at_;
   std::shared_ptr<const Layout> layout_;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -120,12 +120,6 @@
 
 void Relay::OnDirectory(const DirectoryDelta& delta) {
   DirectoryDelta changed = Merge(directory_, delta, Now());
-  if (!changed.endpoints.empty()) {
-    members_.clear();
-    for (const auto& [id, record] : directory_.endpoints) {
-      if (!record.gone) members_[record.group].push_back(record);
-    }
-  }
   bool due = !changed.endpoints.empty() || !changed.relays.empty();
   if (due) AssignSoon();
   UpdatePools();
@@ -150,6 +144,10 @@
   assign_due_ = false;
   assigned_at_ = Now();
   holders_ = AssignHolders(directory_);
+  held_.clear();
+  for (const auto& [endpoint, holders] : holders_) {
+    if (SharersWith(endpoint) > 0) held_.push_back(endpoint);
+  }
 }
 
 /// Brings the pools in line with the directory and the holders.
@@ -169,9 +167,11 @@
     pool->Close();
   }
   // Connections are opened before the first statement needs them.
-  for (const auto& [id, record] : directory_.endpoints) {
-    if (record.gone || record.leaving || draining_) continue;
-    if (SharersWith(id) == 0) continue;
+  for (const EndpointId& id : held_) {
+    auto found = directory_.endpoints.find(id);
+    if (found == directory_.endpoints.end() || draining_) continue;
+    const EndpointRecord& record = found->second;
+    if (record.gone || record.leaving) continue;
     PoolOf(id, record.group, record.address)->Warm();
   }
 }
@@ -350,20 +350,19 @@
   const EndpointRecord* best = nullptr;
   uint64_t best_cost = 0;
   Time now = Now();
-  auto members = members_.find(group);
-  if (members == members_.end()) return std::nullopt;
-  for (const EndpointRecord& member : members->second) {
-    bool is_primary = primary != nullptr && member.id == primary->id;
-    if (is_primary || member.leaving || tried.contains(member.id)) continue;
-    auto lag = lagging_.find({member.id, max_staleness});
+  for (const EndpointRecord* member : MembersOf(directory_, group)) {
+    bool usable =
+        member != primary && !member->leaving && !tried.contains(member->id);
+    if (!usable) continue;
+    auto lag = lagging_.find({member->id, max_staleness});
     if (lag != lagging_.end() && now < lag->second.until) continue;
-    uint64_t cost = member.zone == params_.zone ? 0 : kOtherZoneCost;
-    auto load = loads_.find(member.id);
+    uint64_t cost = member->zone == params_.zone ? 0 : kOtherZoneCost;
+    auto load = loads_.find(member->id);
     bool known = load != loads_.end() && now - load->second.at < kLoadValid;
     if (known) cost += load->second.waiting;
     if (best != nullptr && cost >= best_cost) continue;
-    if (!HolderAddressOf(member.id)) continue;
-    best = &member;
+    if (!HolderAddressOf(member->id)) continue;
+    best = member;
     best_cost = cost;
   }
   if (best != nullptr) return HolderOf(*best);
