--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -58,19 +58,14 @@
   directory.endpoint_heard[record.id] = now;
 }
 
-const std::set<EndpointId>& EndpointsAt(const Directory& directory,
-                                        const Address& address) {
-  static const std::set<EndpointId> kNone;
-  auto found = directory.endpoints_at.find(address);
-  return found == directory.endpoints_at.end() ? kNone : found->second;
-}
-
 /// Marks older endpoints with the address of `now_there` as gone, since
 /// addresses are reused.
 void RemoveReplacedEndpoints(Directory& directory,
                              const EndpointRecord& now_there,
                              DirectoryDelta* changed) {
-  for (const EndpointId& id : EndpointsAt(directory, now_there.address)) {
+  auto there = directory.endpoints_at.find(now_there.address);
+  if (there == directory.endpoints_at.end()) return;
+  for (const EndpointId& id : there->second) {
     EndpointRecord& record = directory.endpoints.at(id);
     bool replaced = id != now_there.id && !record.gone &&
                     record.started_ms < now_there.started_ms;
@@ -81,11 +76,13 @@
 }
 
 bool AddressReused(const Directory& directory, const EndpointRecord& record) {
-  const std::set<EndpointId>& there = EndpointsAt(directory, record.address);
-  return std::any_of(there.begin(), there.end(), [&](const EndpointId& other) {
-    return other != record.id &&
-           directory.endpoints.at(other).started_ms > record.started_ms;
-  });
+  auto there = directory.endpoints_at.find(record.address);
+  if (there == directory.endpoints_at.end()) return false;
+  return std::any_of(
+      there->second.begin(), there->second.end(), [&](const EndpointId& other) {
+        return other != record.id &&
+               directory.endpoints.at(other).started_ms > record.started_ms;
+      });
 }
 
 }  // namespace
