Pack the directory once for relays that connect one after the other

Cause, by reading: whenever a relay had connected, a steward packed and compressed the whole directory and layout anew, up to 25 times a second while relays come back. With 1,500 endpoints, 300 relays and 1,500 routes that takes more than its share of the processor.

Change: what was packed serves all that connect until a second has passed without one, followed by the changes since; it is packed anew once more than a quarter has changed, or the layout. relays_that_come_one_after_the_other_miss_no_change fails if changes are left out.

--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -103,6 +103,16 @@
     RelayLayout layout;
     bool has_directory = false;  ///< was sent the directory
   };
+  /// The directory as relays that connect are sent it. Packing it takes long
+  /// in large fleets, and after a restart relays keep coming.
+  struct PackedDirectory {
+    DirectoryPush push;  ///< without the layout
+    uint64_t layout_version = 0;
+    /// By whether a relay takes compressed messages; packed when first needed.
+    std::map<bool, std::string> with_layout;
+    std::map<bool, std::string> without_layout;
+    DirectoryDelta changes;  ///< since `push`
+  };
   /// A relay that connected while no leader was known.
   struct WaitingRelay {
     LinkPtr link;
@@ -124,7 +134,9 @@
   void SendToLeader(const FleetMessage& message);
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
-  void SendDirectoryToNewRelays();
+  void RenewPackedDirectory();
+  const std::string& PackedDirectoryFor(const ConnectedRelay& relay);
+  void SendDirectoryToNewRelays(Time now);
   /// Returns the message for relays of this and of older releases.
   static const std::string& PackedFor(const ConnectedRelay& relay,
                                       const FleetMessage& message,
@@ -180,6 +192,8 @@
   std::map<Link*, WaitingRelay> waiting_;
   DirectoryDelta to_relays_;
   DirectoryDelta to_members_;
+  std::optional<PackedDirectory> packed_directory_;
+  Time packed_until_;
   std::map<GroupId, std::shared_ptr<PrimaryReplacement>> successions_;
   /// Groups whose recorded primary this leader knows to be the only one, and
   /// for which it has no request to promote outstanding.
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -171,16 +171,9 @@
 /// other members, too.
 void FleetController::TakeDelta(const DirectoryDelta& delta, bool from_member) {
   DirectoryDelta changed = Merge(directory_, delta, Now());
-  auto append = [](DirectoryDelta* to, const DirectoryDelta& from) {
-    to->endpoints.insert(to->endpoints.end(), from.endpoints.begin(),
-                         from.endpoints.end());
-    to->relays.insert(to->relays.end(), from.relays.begin(), from.relays.end());
-    for (const auto& [group, primary] : from.primaries)
-      to->primaries[group] = primary;
-  };
-  append(&to_relays_, changed);
+  Append(&to_relays_, changed);
   if (!changed.Empty()) cache_due_ = true;
-  if (!from_member) append(&to_members_, delta);
+  if (!from_member) Append(&to_members_, delta);
   for (const EndpointRecord& record : changed.endpoints) {
     LogLine(LogLevel::kInfo, "endpoint")
         .Field("endpoint", record.id)
--- a/fleet/src/fleet_controller_relays.cc
+++ b/fleet/src/fleet_controller_relays.cc
@@ -17,6 +17,11 @@
 /// Control members that notify each former relay, as some may not be back yet.
 constexpr size_t kNoticesPerRelay = 3;
 constexpr Duration kNoticeTimeout = Millis(500);
+/// The packed directory is dropped when no relay has connected for this long.
+constexpr Duration kPackedDirectoryKept = Seconds(1);
+/// The directory is packed anew once more than one record in this many has
+/// changed.
+constexpr size_t kMaxChangedPart = 4;
 
 }  // namespace
 
@@ -88,32 +93,61 @@
   return bytes;
 }
 
+/// Packs the directory anew, unless the one that was packed a moment ago can
+/// still serve, followed by the changes since.
+void FleetController::RenewPackedDirectory() {
+  bool current = packed_directory_ &&
+                 packed_directory_->layout_version == layout_.version &&
+                 packed_directory_->changes.size() * kMaxChangedPart <=
+                     packed_directory_->push.delta.size();
+  if (current) return;
+  PackedDirectory& fresh = packed_directory_.emplace();
+  fresh.push = BarePush();
+  fresh.push.delta = FullDelta(directory_);
+  fresh.layout_version = layout_.version;
+}
+
+const std::string& FleetController::PackedDirectoryFor(
+    const ConnectedRelay& relay) {
+  PackedDirectory& directory = *packed_directory_;
+  bool needs_layout = layout_.version > relay.layout.sent;
+  std::map<bool, std::string>& packed =
+      needs_layout ? directory.with_layout : directory.without_layout;
+  bool is_packed = packed.contains(relay.layout.takes_changes);
+  if (needs_layout && !is_packed) directory.push.layout = layout_;
+  const std::string& bytes = PackedFor(relay, directory.push, &packed);
+  directory.push.layout.reset();
+  return bytes;
+}
+
 /// Sends the whole directory to relays that have connected since the last call:
 /// after a restart many do, and one message serves them all.
-void FleetController::SendDirectoryToNewRelays() {
+void FleetController::SendDirectoryToNewRelays(Time now) {
   bool any = std::any_of(relays_.begin(), relays_.end(), [](const auto& item) {
     return !item.second.has_directory;
   });
-  if (!any) return;
+  if (!any) {
+    if (now >= packed_until_) packed_directory_.reset();
+    return;
+  }
+  packed_until_ = now + kPackedDirectoryKept;
+  RenewPackedDirectory();
   std::string bare = PackFleetMessage(BarePush());
-  DirectoryPush known = BarePush();
-  known.delta = FullDelta(directory_);
-  DirectoryPush with_layout = known;
-  with_layout.layout = layout_;
-  std::map<bool, std::string> packed;
-  std::map<bool, std::string> packed_with_layout;
+  DirectoryPush changes = BarePush();
+  changes.delta = packed_directory_->changes;
+  std::map<bool, std::string> packed_changes;
   for (auto& [key, relay] : relays_) {
     if (std::exchange(relay.has_directory, true)) continue;
     // A link accepts only a short frame first.
     relay.link->Send(FrameType::kControl, bare);
-    bool needs_layout = layout_.version > relay.layout.sent;
-    const std::string& message =
-        needs_layout ? PackedFor(relay, with_layout, &packed_with_layout)
-                     : PackedFor(relay, known, &packed);
-    if (needs_layout)
-      SendLayout(&relay, message, Now());
+    const std::string& directory = PackedDirectoryFor(relay);
+    if (layout_.version > relay.layout.sent)
+      SendLayout(&relay, directory, now);
     else
-      relay.link->Send(FrameType::kControl, message);
+      relay.link->Send(FrameType::kControl, directory);
+    if (changes.delta.Empty()) continue;
+    relay.link->Send(FrameType::kControl,
+                     PackedFor(relay, changes, &packed_changes));
   }
 }
 
@@ -128,8 +162,9 @@
       if (!relay.has_directory) continue;
       relay.link->Send(FrameType::kControl, PackedFor(relay, push, &packed));
     }
+    if (packed_directory_) Append(&packed_directory_->changes, push.delta);
   }
-  SendDirectoryToNewRelays();
+  SendDirectoryToNewRelays(Now());
   PushLayout(Now());
   LogLayoutProgress(Now());
   if (to_members_.Empty()) return;
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -178,6 +178,35 @@
 
 /// After a restart of all machines a relay knows only the seeds, and these may
 /// come back last.
+/// The directory that is packed for one relay serves those that follow it.
+BOOST_AUTO_TEST_CASE(relays_that_come_one_after_the_other_miss_no_change) {
+  FleetControllerCluster cluster(3);
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  constexpr size_t kEndpoints = 12;
+  std::vector<std::unique_ptr<Listener>> relays;
+  for (size_t i = 0; i < kEndpoints; ++i) {
+    EndpointRecord record;
+    record.id = EndpointId("e" + std::to_string(i));
+    record.group = GroupId("g1");
+    record.address = Address{"10.0.0.1", static_cast<uint16_t>(1 + i)};
+    record.started_ms = 1;
+    record.sequence = 1;
+    BOOST_REQUIRE(
+        cluster.RunUntil([&] { return cluster.At(0)->Announce(record); }));
+    relays.push_back(
+        std::make_unique<Listener>(&cluster, "relay-" + std::to_string(i), 0));
+    BOOST_REQUIRE(
+        cluster.RunUntil([&] { return relays.back()->version == 1; }));
+  }
+  for (const std::unique_ptr<Listener>& relay : relays) {
+    BOOST_TEST(cluster.RunUntil([&] {
+      return relay->directory.endpoints.size() == kEndpoints &&
+             relay->directory.relays.size() == kEndpoints;
+    }));
+    BOOST_TEST(relay->layouts == 1u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(relays_are_told_of_control_after_a_restart_of_all) {
   FleetControllerCluster cluster(5);
   Address peers{"127.0.0.90", cluster.AddressOf(0).port};
--- a/policy/include/cardamomchute/policy/directory.h
+++ b/policy/include/cardamomchute/policy/directory.h
@@ -73,8 +73,9 @@
   std::vector<RelayRecord> relays;
   std::map<GroupId, PrimaryRecord> primaries;
 
-  bool Empty() const {
-    return endpoints.empty() && relays.empty() && primaries.empty();
+  bool Empty() const { return size() == 0; }
+  size_t size() const {
+    return endpoints.size() + relays.size() + primaries.size();
   }
   MSGPACK_DEFINE(endpoints, relays, primaries)
 };
@@ -97,6 +98,9 @@
 /// announcements do not bring them back.
 inline constexpr Duration kRemovedRecordRetention = Seconds(60);
 
+/// Adds the records of `from`, which may be newer than those of `to`.
+void Append(DirectoryDelta* to, const DirectoryDelta& from);
+
 /// Merges records and returns those that changed the routing.
 DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
                      Time now);
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -93,6 +93,14 @@
   return static_cast<uint32_t>(slots);
 }
 
+void Append(DirectoryDelta* to, const DirectoryDelta& from) {
+  to->endpoints.insert(to->endpoints.end(), from.endpoints.begin(),
+                       from.endpoints.end());
+  to->relays.insert(to->relays.end(), from.relays.begin(), from.relays.end());
+  for (const auto& [group, primary] : from.primaries)
+    to->primaries[group] = primary;
+}
+
 DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
                      Time now) {
   DirectoryDelta changed;
