--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -92,6 +92,7 @@
 
  private:
   using LinkPtr = std::shared_ptr<Link>;
+  /// A layout to send differences from: version and text.
   using Base = std::pair<const uint64_t, std::string>;
   struct PendingPut {
     QuorumTerm term;
@@ -144,8 +145,10 @@
   void ExpireRecords(Time now);
   void Flush();
   void PushLayout(Time now);
-  /// Returns the layout in force as a difference from `base`.
-  std::string PackChange(const Base& base) const;
+  /// Returns the layout in force as a difference from `base`, for relays of
+  /// this release.
+  const std::string& PackedChange(
+      const Base& base, std::map<uint64_t, std::string>* packed) const;
   /// Sends a message that holds the layout in force.
   void SendLayout(ConnectedRelay* relay, const std::string& message,
                   Time now) const;
--- a/fleet/src/fleet_controller_layouts.cc
+++ b/fleet/src/fleet_controller_layouts.cc
@@ -155,11 +155,15 @@
       .Field("after_ms", since.ms());
 }
 
-std::string FleetController::PackChange(const Base& base) const {
+const std::string& FleetController::PackedChange(
+    const Base& base, std::map<uint64_t, std::string>* packed) const {
+  std::string& bytes = (*packed)[base.first];
+  if (!bytes.empty()) return bytes;
   DirectoryPush push = BarePush();
   push.layout_change = LayoutChange{base.first, layout_.version,
                                     MakeTextDelta(base.second, layout_.text)};
-  return PackForRelay(push);
+  bytes = PackForRelay(push);
+  return bytes;
 }
 
 void FleetController::SendLayout(ConnectedRelay* relay,
@@ -176,7 +180,7 @@
   next_layout_push_ = now + kLayoutPushInterval;
   DirectoryPush whole = BarePush();
   whole.layout = layout_;
-  std::map<bool, std::string> packed;
+  std::map<bool, std::string> packed_whole;
   std::map<uint64_t, std::string> packed_changes;
   size_t waiting = 0;
   size_t changes = 0;
@@ -192,16 +196,11 @@
       ++waiting;
       continue;
     }
-    if (push == LayoutPush::kWhole) {
-      ++wholes;
-      const std::string& message = PackedFor(relay, whole, &packed);
-      bytes += message.size();
-      SendLayout(&relay, message, now);
-      continue;
-    }
-    ++changes;
-    std::string& message = packed_changes[base->first];
-    if (message.empty()) message = PackChange(*base);
+    bool is_change = push == LayoutPush::kChange;
+    const std::string& message = is_change
+                                     ? PackedChange(*base, &packed_changes)
+                                     : PackedFor(relay, whole, &packed_whole);
+    ++(is_change ? changes : wholes);
     bytes += message.size();
     SendLayout(&relay, message, now);
   }
