Build the packed directory apart from its optional

clang refuses emplace() on an optional of a nested struct with default member initializers, so lint failed on this file; g++ takes it. No change in behaviour.

--- a/fleet/src/fleet_controller_relays.cc
+++ b/fleet/src/fleet_controller_relays.cc
@@ -101,10 +101,11 @@
                  packed_directory_->changes.size() * kMaxChangedPart <=
                      packed_directory_->push.delta.size();
   if (current) return;
-  PackedDirectory& fresh = packed_directory_.emplace();
+  PackedDirectory fresh;
   fresh.push = BarePush();
   fresh.push.delta = FullDelta(directory_);
   fresh.layout_version = layout_.version;
+  packed_directory_ = std::move(fresh);
 }
 
 const std::string& FleetController::PackedDirectoryFor(
