--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -337,6 +337,13 @@
       [&data](const LogEntry& entry) { return entry.data == data; }));
 }
 
+size_t LineGroup::PositionOf(const std::string& data) const {
+  for (size_t i = log_.size(); i > 0; --i) {
+    if (log_[i - 1].data == data) return i;
+  }
+  return 0;
+}
+
 std::string LineGroup::Latest(const std::string& item, uint64_t applied) const {
   for (size_t i = std::min<size_t>(applied, log_.size()); i > 0; --i) {
     if (log_[i - 1].item == item) return log_[i - 1].data;
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -67,6 +67,8 @@
   uint64_t commits() const { return log_.size(); }
   /// How many commits hold `data`.
   size_t CountOf(const std::string& data) const;
+  /// Position of the last commit that holds `data`, or 0.
+  size_t PositionOf(const std::string& data) const;
 
   /// Runs after a member has been paused.
   std::function<void()> on_pause;
