Serve a caller on the thread that its socket belongs to

Found on reading the change again: during a drain a connection that was accepted for one thread could be served on another, as the listener passes on waiting ones first. It is matched by the socket's executor now. No test brings the order about. Some comments are put plainly.

--- a/base/include/cardamomchute/base/tcp_listener.h
+++ b/base/include/cardamomchute/base/tcp_listener.h
@@ -19,7 +19,8 @@
 /// which closing connections release; accepting again at once would spin.
 inline constexpr Duration kAcceptRetry = Millis(100);
 
-/// Runs on the thread of `io`. Its handlers keep it alive until it is closed.
+/// Runs on the thread of `io`. An open listener stays alive without its owner,
+/// so the owner must close it.
 class TcpListener : public std::enable_shared_from_this<TcpListener> {
  public:
   using Socket = boost::asio::ip::tcp::socket;
--- a/callers/src/caller_server.cc
+++ b/callers/src/caller_server.cc
@@ -83,14 +83,19 @@
     listener_->Start(
         [weak](tcp::socket socket) {
           std::shared_ptr<Impl> self = weak.lock();
-          if (self) self->ServeNext(std::move(socket));
+          if (self) self->ServeOnItsThread(std::move(socket));
         },
         [this] { return threads_[next_thread_]->io; });
   }
 
-  void ServeNext(tcp::socket socket) {
-    Serve(std::move(socket), threads_[next_thread_]);
+  /// Serves a connection on the thread that its socket belongs to. A drain may
+  /// pass on connections in another order than that of the threads.
+  void ServeOnItsThread(tcp::socket socket) {
     next_thread_ = (next_thread_ + 1) % threads_.size();
+    for (const std::shared_ptr<ThreadState>& thread : threads_) {
+      bool same = socket.get_executor() == thread->io->get_executor();
+      if (same) return Serve(std::move(socket), thread);
+    }
   }
 
   void Serve(tcp::socket socket, const std::shared_ptr<ThreadState>& thread) {
--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -187,8 +187,8 @@
   std::map<uint64_t, std::string> bases_;
   Time next_layout_push_;
   Time layout_since_;  ///< when `layout_` came in force at this member
-  uint64_t logged_confirmed_ = 0;  ///< last version that a line said so of
-  uint64_t logged_overdue_ = 0;
+  uint64_t logged_confirmed_ = 0;  ///< last version logged as confirmed
+  uint64_t logged_overdue_ = 0;    ///< last version logged as overdue
   Directory directory_;
   std::map<LogIndex, PendingPut> pending_;
   std::map<Link*, ConnectedRelay> relays_;
--- a/fleet/include/cardamomchute/fleet/messages.h
+++ b/fleet/include/cardamomchute/fleet/messages.h
@@ -22,7 +22,8 @@
 struct RelayReport {
   RelayRecord relay;
   uint64_t layout_version = 0;  ///< version the relay routes by
-  /// Takes compressed messages and layout changes; older releases do not.
+  /// Takes compressed messages and layout changes, and confirms each layout;
+  /// older releases do not.
   bool takes_changes = false;
   MSGPACK_DEFINE(relay, layout_version, takes_changes)
 };
--- a/fleet/src/fleet_controller_layouts.cc
+++ b/fleet/src/fleet_controller_layouts.cc
@@ -13,7 +13,8 @@
 constexpr Duration kLayoutPushInterval = Millis(500);
 /// A relay that has not confirmed a layout after this long is named in the log.
 constexpr Duration kLayoutOverdue = Seconds(2);
-/// Layouts kept to send differences from, as each may be a megabyte.
+/// Maximum number of layouts kept as bases of differences; each may have a
+/// megabyte.
 constexpr size_t kMaxBases = 3;
 
 }  // namespace
