--- a/review/common/group.cc
+++ b/review/common/group.cc
@@ -128,6 +128,10 @@
     if (on_statement) on_statement(member->id, id, rest);
     std::string answer = Execute(member, &session, id, rest);
     if (reply_ms_ > 0) SleepMs(reply_ms_);
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      changed_.wait(lock, [this] { return stopped_ || !cut_; });
+    }
     if (answer.empty() || !SendAll(socket, answer)) break;
   }
   std::lock_guard<std::mutex> lock(mutex_);
@@ -450,6 +454,16 @@
   record_->Add(members_[i]->id, deaf ? "receives nothing" : "receives again");
 }
 
+void Group::SetCut(bool cut) {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    cut_ = cut;
+    record_->Add("network", cut ? "links to the members are cut"
+                                : "links to the members are whole again");
+  }
+  changed_.notify_all();
+}
+
 std::vector<RunStatement> Group::Runs() const {
   std::lock_guard<std::mutex> lock(mutex_);
   return runs_;
--- a/review/common/group.h
+++ b/review/common/group.h
@@ -77,6 +77,9 @@
   void SetDeaf(size_t i, bool deaf);
   void SetWork(int64_t ms) { work_ms_ = ms; }
   void SetReply(int64_t ms) { reply_ms_ = ms; }
+  /// Holds all answers back while true, as a cut link does; they arrive once it
+  /// heals.
+  void SetCut(bool cut);
 
   std::vector<RunStatement> Runs() const;
   /// The commits in the log of the member that leads now.
@@ -146,6 +149,7 @@
   uint64_t next_transaction_ = 0;
   uint64_t term_ = 1;
   bool stopped_ = false;
+  bool cut_ = false;
 };
 
 }  // namespace review
--- a/review/common/site.cc
+++ b/review/common/site.cc
@@ -214,7 +214,7 @@
     }
   }
   // Served end to end before the case begins.
-  while (true) {
+  while (settings_.probe) {
     Client client("probe", record_);
     bool served = client.Connect(CallersOf(0), settings_.database) &&
                   client.Query("probe", "READ probe").done();
@@ -257,6 +257,16 @@
   return addresses;
 }
 
+bool Site::WaitUntilServing(size_t relay, int64_t settle_ms) {
+  int64_t until = NowMs() + 10000;
+  while (!Ready(relay)) {
+    if (NowMs() > until) return false;
+    SleepMs(50);
+  }
+  SleepMs(settle_ms);
+  return true;
+}
+
 std::string Site::UnusedAddress() const { return Host(120) + ":8080"; }
 
 bool Site::Ready(size_t relay) const {
--- a/review/common/site.h
+++ b/review/common/site.h
@@ -64,6 +64,8 @@
   uint64_t relay_memory_bytes = 0;
   /// File descriptors of a relay; 0: as the machine has it.
   uint64_t relay_descriptors = 0;
+  /// Whether `Start` sends a read of its own through the first relay.
+  bool probe = true;
 };
 
 class Site {
@@ -83,6 +85,8 @@
   /// An address of this deployment at which nothing listens.
   std::string UnusedAddress() const;
   bool Ready(size_t relay) const;
+  /// Waits until a relay says that it is ready, and then `settle_ms`.
+  bool WaitUntilServing(size_t relay, int64_t settle_ms);
   /// Calls one control address after another; true once one accepts.
   bool Beat(const std::string& id, const std::string& body);
   bool PutConfiguration(uint64_t version);
