--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -18,8 +18,10 @@
 /// Both ways between two zones; the sheet has 0.9 ms one way.
 constexpr int64_t kRoundTripMs = 2;
 /// Clients that leave, and the pause between two of them.
-constexpr size_t kLeaving = 150;
+constexpr size_t kLeaving = 100;
 constexpr int64_t kLeavePauseMs = 60;
+/// `maxConns` on the sheet of the site.
+constexpr int kConnections = 36;
 constexpr int64_t kWholeMs = 60000;
 constexpr int64_t kLastMs = 20000;
 /// The gate: refused and failed requests, of all that are owed.
@@ -36,6 +38,7 @@
   settings.relays = kRelays;
   settings.group.name = "g1";
   settings.group.reply_ms = kRoundTripMs;
+  settings.group.max_connections = kConnections;
   Site site(settings, &record);
   if (!site.Start()) return kCannotRun;
 
