Own a transaction by its link, from the moment BEGIN is sent

Cause: the VM that holds the connections recorded the owner of a connection only once BEGIN had been answered, so that a relay lost before that left an open transaction behind; and it knew owners by session and transaction numbers, which begin anew in each relay process. The first gap alone lets callers that leave during BEGIN use up the connections to a primary.

Owners are now the link on which a request came, whose number is never used again. A job's connection is its owner's from the start; an abandoned statement is not sent after its setup, and what the setup opened is rolled back. Statements that wait for a position are abandoned, too, abandoned statements are answered, and an abandon follows a request that waits for its link.

--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -28,9 +28,9 @@
 
 namespace cardamomchute {
 
-/// Identifies a caller's session across all relays.
+/// Identifies a caller's session across all relays and their restarts.
 struct SessionKey {
-  VmId relay;
+  RelayLink link;
   uint64_t session = 0;
   friend auto operator<=>(const SessionKey&, const SessionKey&) = default;
 };
@@ -78,12 +78,12 @@
   /// Opens connections ahead of the first statements: the slots plus a spare.
   void Warm();
   void Submit(RunRequest request, const SessionKey& key, RunDone done);
-  /// Ends a transaction that its caller abandoned: removes its queued
-  /// statements and rolls it back.
+  /// Ends a transaction that its caller abandoned: its statements that have not
+  /// been sent are refused, and it is rolled back, also if BEGIN is under way.
   void Abandon(const SessionKey& key, uint64_t run);
-  /// Abandons all statements and transactions of callers at `relay`, whose link
-  /// is lost.
-  void AbandonAll(const VmId& relay);
+  /// Abandons all statements and transactions that arrived on `link`, which is
+  /// lost.
+  void AbandonAll(const RelayLink& link);
   /// Calls `done` with the last known log position of the primary and its
   /// `age`: it contains every commit acknowledged more than `age` before this
   /// call. `at` is empty if no position is known.
@@ -124,7 +124,7 @@
     uint64_t run = 0;
     bool wrote = false;        ///< the pinned transaction may have writes
     bool leased = false;       ///< the pinned transaction began under a lease
-    bool abandoned = false;    ///< roll back after the running job
+    bool abandoned = false;    ///< roll back; send nothing more of the job
     std::unique_ptr<Job> job;  ///< running
     bool sent = false;         ///< the job's statement has been sent
     Time sent_at;
@@ -133,6 +133,8 @@
     std::set<std::string> prepared;
   };
   using HeldPtr = std::shared_ptr<Held>;
+  /// Selects transactions by their owner.
+  using OwnerFilter = std::function<bool(const SessionKey&, uint64_t run)>;
 
   void Enqueue(std::unique_ptr<Job> job);
   bool PlanFloor(Job* job, Time now);
@@ -156,6 +158,9 @@
   std::vector<EndpointCommand> Setup(const HeldPtr& held);
   void SendSetup(const HeldPtr& held, std::vector<EndpointCommand> commands);
   void SendStatement(const HeldPtr& held);
+  void EndAbandoned(const HeldPtr& held, TransactionState state);
+  void AbandonWhere(const OwnerFilter& abandoned);
+  std::vector<std::unique_ptr<Job>> TakeWaiting(const OwnerFilter& abandoned);
   void OnStatementAnswer(const HeldPtr& held, const CommandAnswer& answer);
   void NoteProof(const HeldPtr& held, const CommandAnswer& answer);
   void EndRun(const HeldPtr& held, TransactionState state);
--- a/relay/include/cardamomchute/relay/relay_mesh.h
+++ b/relay/include/cardamomchute/relay/relay_mesh.h
@@ -20,12 +20,12 @@
 namespace cardamomchute {
 
 struct MeshHandlers {
-  std::function<void(const VmId& from, RunRequest, RunDone)> on_run;
-  std::function<void(const VmId& from, const AbandonRun&)> on_abandon;
+  std::function<void(const RelayLink& from, RunRequest, RunDone)> on_run;
+  std::function<void(const RelayLink& from, const AbandonRun&)> on_abandon;
   std::function<void(const FloorQuestion&, std::function<void(FloorAnswer)>)>
       on_floor;
-  /// The last link from that VM was closed.
-  std::function<void(const VmId& from)> on_gone;
+  /// The link was closed. Nothing arrives on it any more.
+  std::function<void(const RelayLink& from)> on_gone;
   std::function<void(const ControlHint&)> on_control_hint;
 };
 
@@ -36,6 +36,8 @@
   Status Listen(const Address& address);
   /// `wrote`: the statement's transaction may hold writes.
   void Run(const Address& to, RunRequest request, bool wrote, RunDone done);
+  /// Follows the transaction's requests on their link, also if they still wait
+  /// for it; without a link, the other VM has abandoned the transaction.
   void Abandon(const Address& to, const AbandonRun& abandon);
   void AskFloor(const Address& to, FloorQuestion question,
                 std::function<void(std::optional<FloorAnswer>)> done);
@@ -67,6 +69,8 @@
 
   void TakeConnection(boost::asio::ip::tcp::socket socket);
   void OnInbound(const LinkPtr& link, std::string_view body);
+  void TakeHello(const LinkPtr& link, const RelayHello& hello);
+  void LoseInbound(const LinkPtr& link);
   void OnOutbound(const Address& from, std::string_view body);
   void SendTo(const Address& to, Peer* peer, std::string message);
   void Dial(const Address& to, Peer* peer);
@@ -86,9 +90,10 @@
   std::map<Address, Peer> peers_;
   struct Inbound {
     LinkPtr link;
-    VmId vm;
+    RelayLink from;
   };
   std::map<Link*, Inbound> inbound_;
+  uint64_t next_inbound_ = 0;
 };
 
 }  // namespace cardamomchute
--- a/relay/include/cardamomchute/relay/run.h
+++ b/relay/include/cardamomchute/relay/run.h
@@ -27,11 +27,20 @@
   return step == RunStep::kNext || step == RunStep::kCommit;
 }
 
+/// The link on which another relay's requests arrive; number 0 stands for this
+/// VM's own callers. A number is used once in a process: session and
+/// transaction ids restart with the relay that issues them, the link does not.
+struct RelayLink {
+  VmId relay;
+  uint64_t number = 0;
+  friend auto operator<=>(const RelayLink&, const RelayLink&) = default;
+};
+
 /// A statement to run on an endpoint.
 struct RunRequest {
   uint64_t number = 0;   ///< request id, unique per link
-  uint64_t session = 0;  ///< caller's session id, unique per relay
-  uint64_t run = 0;      ///< caller's transaction id, unique per relay
+  uint64_t session = 0;  ///< caller's session id, unique per relay process
+  uint64_t run = 0;      ///< caller's transaction id, unique per relay process
   EndpointId endpoint;
   GroupId group;
   Address address;
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -99,7 +99,7 @@
   item.rank = job->request.rank;
   item.lane = job->late ? Lane::kOverdue : Lane::kPrimary;
   item.session =
-      job->key.relay.value() + "/" + std::to_string(job->key.session);
+      job->key.link.relay.value() + "/" + std::to_string(job->key.session);
   item.arrived = Now();
   item.deadline = job->deadline;
   Admission admission = queue_.Add(item, item.arrived);
@@ -228,40 +228,6 @@
   job->done(std::move(answer));
 }
 
-void EndpointPool::Abandon(const SessionKey& key, uint64_t run) {
-  for (auto it = jobs_.begin(); it != jobs_.end();) {
-    bool same = it->second->key == key && it->second->request.run == run;
-    if (same) queue_.Remove(it->first);
-    it = same ? jobs_.erase(it) : std::next(it);
-  }
-  HeldPtr held = FindPinned(key, run);
-  if (!held) return;
-  if (held->busy) {
-    held->abandoned = true;
-    return;
-  }
-  Release(held);
-}
-
-void EndpointPool::AbandonAll(const VmId& relay) {
-  for (auto it = jobs_.begin(); it != jobs_.end();) {
-    if (it->second->key.relay != relay) {
-      ++it;
-      continue;
-    }
-    queue_.Remove(it->first);
-    it = jobs_.erase(it);
-  }
-  std::erase_if(parked_, [&relay](const std::unique_ptr<Job>& job) {
-    return job->key.relay == relay;
-  });
-  std::vector<HeldPtr> all = held_;
-  for (const HeldPtr& held : all) {
-    if (held->pinned && held->pinned->relay == relay)
-      Abandon(*held->pinned, held->run);
-  }
-}
-
 // ---- statements under way --------------------------------------------------
 
 void EndpointPool::Start(const HeldPtr& held, std::unique_ptr<Job> job) {
@@ -360,7 +326,9 @@
         on->leased = self->Leased(on->sent_at, on->job->request.max_staleness);
       }
     }
-    if (left->empty()) self->SendStatement(on);
+    if (!left->empty()) return;
+    if (on->abandoned) return self->EndAbandoned(on, answer.state);
+    self->SendStatement(on);
   });
 }
 
--- /dev/null
+++ b/relay/src/endpoint_pool_abandon.cc
@@ -0,0 +1,74 @@
+/// Transactions whose callers are gone.
+#include <iterator>
+#include <utility>
+
+#include "cardamomchute/relay/endpoint_pool.h"
+
+namespace cardamomchute {
+namespace {
+
+constexpr char kCallerGone[] = "its caller is gone";
+
+}  // namespace
+
+void EndpointPool::Abandon(const SessionKey& key, uint64_t run) {
+  AbandonWhere([&key, run](const SessionKey& owner, uint64_t owned) {
+    return owner == key && owned == run;
+  });
+}
+
+void EndpointPool::AbandonAll(const RelayLink& link) {
+  AbandonWhere([&link](const SessionKey& owner, uint64_t) {
+    return owner.link == link;
+  });
+}
+
+/// A connection belongs to the owner of its job from the moment the job is
+/// assigned to it: the transaction may open before the endpoint says so.
+void EndpointPool::AbandonWhere(const OwnerFilter& abandoned) {
+  std::vector<std::unique_ptr<Job>> waiting = TakeWaiting(abandoned);
+  std::vector<HeldPtr> all = held_;
+  for (const HeldPtr& held : all) {
+    if (held->job) {
+      if (abandoned(held->job->key, held->job->request.run))
+        held->abandoned = true;
+      continue;
+    }
+    if (held->pinned && abandoned(*held->pinned, held->run)) Release(held);
+  }
+  for (std::unique_ptr<Job>& job : waiting)
+    Refuse(std::move(job), StatementStatus::kAborted, kCallerGone);
+}
+
+/// Removes the abandoned statements that no connection has been assigned to.
+std::vector<std::unique_ptr<EndpointPool::Job>> EndpointPool::TakeWaiting(
+    const OwnerFilter& abandoned) {
+  std::vector<std::unique_ptr<Job>> taken;
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    if (!abandoned(it->second->key, it->second->request.run)) {
+      ++it;
+      continue;
+    }
+    queue_.Remove(it->first);
+    taken.push_back(std::move(it->second));
+    it = jobs_.erase(it);
+  }
+  std::vector<std::unique_ptr<Job>> parked = std::exchange(parked_, {});
+  for (std::unique_ptr<Job>& job : parked) {
+    bool is_taken = abandoned(job->key, job->request.run);
+    (is_taken ? taken : parked_).push_back(std::move(job));
+  }
+  return taken;
+}
+
+/// The setup of an abandoned statement has been answered: the statement is not
+/// sent, and what the setup has opened is rolled back.
+void EndpointPool::EndAbandoned(const HeldPtr& held, TransactionState state) {
+  std::unique_ptr<Job> job = std::move(held->job);
+  --running_;
+  EndRun(held, state);
+  Refuse(std::move(job), StatementStatus::kAborted, kCallerGone);
+  Dispatch();
+}
+
+}  // namespace cardamomchute
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -70,7 +70,8 @@
 MeshHandlers Relay::Handlers() {
   std::weak_ptr<Relay> weak = weak_from_this();
   MeshHandlers handlers;
-  handlers.on_run = [weak](const VmId& from, RunRequest request, RunDone done) {
+  handlers.on_run = [weak](const RelayLink& from, RunRequest request,
+                           RunDone done) {
     std::shared_ptr<Relay> self = weak.lock();
     if (!self) return;
     std::shared_ptr<EndpointPool> pool =
@@ -78,7 +79,8 @@
     SessionKey key{from, request.session};
     pool->Submit(std::move(request), key, std::move(done));
   };
-  handlers.on_abandon = [weak](const VmId& from, const AbandonRun& abandon) {
+  handlers.on_abandon = [weak](const RelayLink& from,
+                               const AbandonRun& abandon) {
     std::shared_ptr<Relay> self = weak.lock();
     if (!self) return;
     auto pool = self->pools_.find(abandon.endpoint);
@@ -97,7 +99,7 @@
     if (self && self->params_.on_control_hint)
       self->params_.on_control_hint(hint.members);
   };
-  handlers.on_gone = [weak](const VmId& from) {
+  handlers.on_gone = [weak](const RelayLink& from) {
     std::shared_ptr<Relay> self = weak.lock();
     if (!self) return;
     for (const auto& [id, pool] : self->pools_) pool->AbandonAll(from);
@@ -399,7 +401,7 @@
   request.address = target.endpoint.address;
   if (holder.port != 0)
     return mesh_->Run(holder, std::move(request), wrote, std::move(noted));
-  SessionKey key{params_.vm, request.session};
+  SessionKey key{RelayLink{params_.vm}, request.session};
   std::shared_ptr<EndpointPool> pool =
       PoolOf(endpoint, request.group, request.address);
   pool->Submit(std::move(request), key, std::move(noted));
@@ -409,7 +411,8 @@
   if (target.holder.port != 0) return mesh_->Abandon(target.holder, abandon);
   auto pool = pools_.find(abandon.endpoint);
   if (pool == pools_.end()) return;
-  pool->second->Abandon(SessionKey{params_.vm, abandon.session}, abandon.run);
+  pool->second->Abandon(SessionKey{RelayLink{params_.vm}, abandon.session},
+                        abandon.run);
 }
 
 void Relay::AskFloor(const GroupId& group,
--- a/relay/src/relay_mesh.cc
+++ b/relay/src/relay_mesh.cc
@@ -48,7 +48,7 @@
 
 void RelayMesh::TakeConnection(tcp::socket socket) {
   LinkPtr link = std::make_shared<Link>(std::move(socket), kTiming);
-  inbound_[link.get()] = Inbound{link, VmId()};
+  inbound_[link.get()] = Inbound{link, RelayLink{VmId(), ++next_inbound_}};
   std::weak_ptr<RelayMesh> weak = weak_from_this();
   std::weak_ptr<Link> weak_link = link;
   link->Start(
@@ -61,16 +61,30 @@
       [weak, weak_link](const std::string&) {
         std::shared_ptr<RelayMesh> self = weak.lock();
         LinkPtr lost = weak_link.lock();
-        if (!self || !lost) return;
-        VmId vm = self->inbound_[lost.get()].vm;
-        self->inbound_.erase(lost.get());
-        bool other = std::any_of(
-            self->inbound_.begin(), self->inbound_.end(),
-            [&vm](const auto& item) { return item.second.vm == vm; });
-        if (!other && !vm.empty()) self->handlers_.on_gone(vm);
+        if (self && lost) self->LoseInbound(lost);
       });
 }
 
+void RelayMesh::LoseInbound(const LinkPtr& link) {
+  auto inbound = inbound_.find(link.get());
+  if (inbound == inbound_.end()) return;
+  RelayLink from = inbound->second.from;
+  inbound_.erase(inbound);
+  link->Close();
+  if (handlers_.on_gone) handlers_.on_gone(from);
+}
+
+/// A VM has one link to another: earlier ones are dead, if silently.
+void RelayMesh::TakeHello(const LinkPtr& link, const RelayHello& hello) {
+  std::vector<LinkPtr> dead;
+  for (const auto& [key, other] : inbound_) {
+    if (other.from.relay == hello.vm && key != link.get())
+      dead.push_back(other.link);
+  }
+  for (const LinkPtr& old : dead) LoseInbound(old);
+  inbound_.at(link.get()).from.relay = hello.vm;
+}
+
 void RelayMesh::OnInbound(const LinkPtr& link, std::string_view body) {
   auto inbound = inbound_.find(link.get());
   if (inbound == inbound_.end()) return;
@@ -79,34 +93,20 @@
     LogLine(LogLevel::kWarn, "relay_message_refused")
         .Field("from", link->remote())
         .Field("error", ToString(read.error()));
-    VmId vm = inbound->second.vm;
-    inbound_.erase(inbound);
-    link->Close();
-    if (!vm.empty()) handlers_.on_gone(vm);
-    return;
+    return LoseInbound(link);
   }
   RelayMessage& message = read.value();
-  const VmId vm = inbound->second.vm;
+  const RelayLink from = inbound->second.from;
   std::weak_ptr<Link> weak = link;
   if (auto* hello = std::get_if<RelayHello>(&message)) {
-    // A second link of the same VM: the first is dead, if silently.
-    std::vector<LinkPtr> old;
-    for (const auto& [key, other] : inbound_) {
-      if (other.vm == hello->vm) old.push_back(other.link);
-    }
-    for (const LinkPtr& dead : old) {
-      inbound_.erase(dead.get());
-      dead->Close();
-    }
-    if (!old.empty()) handlers_.on_gone(hello->vm);
-    inbound->second.vm = hello->vm;
+    TakeHello(link, *hello);
   } else if (auto* run = std::get_if<RunRequest>(&message)) {
-    handlers_.on_run(vm, std::move(*run), [weak](RunAnswer answer) {
+    handlers_.on_run(from, std::move(*run), [weak](RunAnswer answer) {
       LinkPtr to = weak.lock();
       if (to) to->Send(FrameType::kRelay, PackMessage(std::move(answer)));
     });
   } else if (auto* abandon = std::get_if<AbandonRun>(&message)) {
-    handlers_.on_abandon(vm, *abandon);
+    handlers_.on_abandon(from, *abandon);
   } else if (auto* question = std::get_if<FloorQuestion>(&message)) {
     uint64_t number = question->number;
     handlers_.on_floor(*question, [weak, number](FloorAnswer answer) {
@@ -147,8 +147,9 @@
 
 void RelayMesh::Abandon(const Address& to, const AbandonRun& abandon) {
   auto peer = peers_.find(to);
-  if (peer == peers_.end() || !peer->second.link) return;
-  peer->second.link->Send(FrameType::kRelay, PackMessage(abandon));
+  bool linked = peer != peers_.end() &&
+                (peer->second.link != nullptr || peer->second.dialling);
+  if (linked) SendTo(to, &peer->second, PackMessage(abandon));
 }
 
 void RelayMesh::AskFloor(const Address& to, FloorQuestion question,
--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -8,6 +8,10 @@
 namespace cardamomchute {
 namespace {
 
+SessionKey KeyOf(const std::string& relay, uint64_t session) {
+  return SessionKey{RelayLink{VmId(relay)}, session};
+}
+
 /// A pool to one member of a stand-in group.
 struct Fixture {
   explicit Fixture(size_t member = 0, size_t members = 3, bool leases = false)
@@ -24,7 +28,11 @@
     params.ask_floor =
         [this](std::function<void(std::optional<FloorAnswer>)> done) {
           ++floors_asked;
-          done(floor);
+          if (hold_floor) {
+            held_floor = std::move(done);
+          } else {
+            done(floor);
+          }
         };
     if (leases) params.renew_lease = [this] { ++leases_asked; };
     pool = std::make_shared<EndpointPool>(std::move(params));
@@ -52,7 +60,7 @@
   /// The answers arrive in `answers`, in the order of their arrival.
   void Submit(RunRequest request, const std::string& caller = "a") {
     pool->Submit(
-        std::move(request), SessionKey{VmId(caller), 1},
+        std::move(request), KeyOf(caller, 1),
         [this](RunAnswer answer) { answers.push_back(std::move(answer)); });
   }
 
@@ -79,6 +87,9 @@
   std::vector<RunAnswer> answers;
   std::vector<EndpointProblem> troubles;
   std::optional<FloorAnswer> floor;
+  bool hold_floor =
+      false;  ///< questions stay open until `held_floor` is called
+  std::function<void(std::optional<FloorAnswer>)> held_floor;
   int floors_asked = 0;
   int leases_asked = 0;
   int next_id = 0;
@@ -208,7 +219,7 @@
 BOOST_AUTO_TEST_CASE(what_is_abandoned_is_rolled_back) {
   Fixture f;
   f.Run(f.Request(RunStep::kFirst, "WRITE k gone"));
-  f.pool->Abandon(SessionKey{VmId("a"), 1}, 1);
+  f.pool->Abandon(KeyOf("a", 1), 1);
   BOOST_TEST(f.RunUntil([&] { return f.pool->Idle(); }));
   RunAnswer next = f.Run(f.Request(RunStep::kNext, "READ k"));
   BOOST_TEST((next.outcome == StatementStatus::kAborted));
@@ -218,11 +229,86 @@
 BOOST_AUTO_TEST_CASE(a_lost_relay_takes_its_transactions_and_waiting_with_it) {
   Fixture f;
   f.Run(f.Request(RunStep::kFirst, "WRITE k gone"));
-  f.pool->AbandonAll(VmId("a"));
+  f.pool->AbandonAll(RelayLink{VmId("a")});
+  BOOST_TEST(f.RunUntil([&] { return f.pool->Idle(); }));
+  BOOST_TEST(f.group.CountOf("gone") == 0u);
+}
+
+/// Has BEGIN of caller "a" under way, with `text` to follow: a connection is
+/// idle, so that it is sent at once.
+void BeginAnd(Fixture* f, const std::string& text) {
+  f->Run(f->Request(RunStep::kSingle, "WRITE k before"));
+  f->Submit(f->Request(RunStep::kFirst, text));
+}
+
+/// Guards against a transaction that stays open without an owner: its relay is
+/// killed before BEGIN has been answered, and the numbers that the restarted
+/// relay issues meet it again.
+BOOST_AUTO_TEST_CASE(a_relay_lost_during_begin_leaves_no_transaction) {
+  Fixture f;
+  BeginAnd(&f, "WRITE k gone");
+  f.pool->AbandonAll(RelayLink{VmId("a")});
   BOOST_TEST(f.RunUntil([&] { return f.pool->Idle(); }));
+  RunAnswer next = f.Run(f.Request(RunStep::kNext, "WRITE k mixed"));
+  BOOST_TEST((next.outcome == StatementStatus::kAborted));
+  BOOST_TEST(f.Run(f.Request(RunStep::kFirst, "WRITE k own")).transaction);
+  BOOST_TEST((f.Run(f.Request(RunStep::kCommit, "COMMIT")).outcome ==
+              StatementStatus::kDone));
+  BOOST_TEST(f.group.CountOf("own") == 1u);
+  BOOST_TEST(f.group.CountOf("gone") == 0u);
+  BOOST_TEST(f.group.CountOf("mixed") == 0u);
+}
+
+/// Guards against connections that callers take with them for good by leaving
+/// before BEGIN has been answered.
+BOOST_AUTO_TEST_CASE(callers_that_leave_during_begin_free_their_connections) {
+  Fixture f;
+  for (uint32_t i = 0; i < 3 * f.bounds.connections; ++i) {
+    BeginAnd(&f, "WRITE k gone");
+    f.pool->Abandon(KeyOf("a", 1), 1);
+    BOOST_REQUIRE(f.RunUntil([&] { return f.pool->Idle(); }));
+  }
+  BOOST_TEST((f.Run(f.Request(RunStep::kSingle, "WRITE k v")).outcome ==
+              StatementStatus::kDone));
   BOOST_TEST(f.group.CountOf("gone") == 0u);
 }
 
+/// Guards against a transaction that opens for a caller that left while the
+/// statement waited for a log position.
+BOOST_AUTO_TEST_CASE(what_waits_for_a_position_is_abandoned_with_its_caller) {
+  Fixture f(1);
+  f.hold_floor = true;
+  RunRequest read = f.Request(RunStep::kFirst, "READ k");
+  read.read_only = true;
+  read.at_primary = false;
+  read.max_staleness = Seconds(2);
+  f.Submit(read);
+  f.pool->Abandon(KeyOf("a", 1), 1);
+  BOOST_REQUIRE(f.answers.size() == 1u);
+  BOOST_TEST((f.answers[0].outcome == StatementStatus::kAborted));
+  f.held_floor(FloorAnswer{0, Floor{Term(1), Position()}, Duration()});
+  f.RunUntil([until = Now() + Millis(100)] { return Now() > until; });
+  BOOST_TEST(f.pool->Idle());
+  BOOST_TEST(f.group.member(1).runs.empty());
+}
+
+/// Numbers restart with the relay that issues them; the link does not.
+BOOST_AUTO_TEST_CASE(a_transaction_belongs_to_the_link_that_opened_it) {
+  Fixture f;
+  RunRequest first = f.Request(RunStep::kFirst, "WRITE k old");
+  std::optional<RunAnswer> opened;
+  f.pool->Submit(first, SessionKey{RelayLink{VmId("a"), 1}, 1},
+                 [&](const RunAnswer& answer) { opened = answer; });
+  BOOST_REQUIRE(f.RunUntil([&] { return opened.has_value(); }));
+  BOOST_TEST(opened->transaction);
+  RunRequest next = f.Request(RunStep::kNext, "WRITE k new");
+  std::optional<RunAnswer> joined;
+  f.pool->Submit(next, SessionKey{RelayLink{VmId("a"), 2}, 1},
+                 [&](const RunAnswer& answer) { joined = answer; });
+  BOOST_REQUIRE(f.RunUntil([&] { return joined.has_value(); }));
+  BOOST_TEST((joined->outcome == StatementStatus::kAborted));
+}
+
 BOOST_AUTO_TEST_CASE(connections_that_a_peak_left_unused_are_closed) {
   Fixture f;
   f.bounds.connections = 12;
@@ -232,7 +318,7 @@
     f.Run(f.Request(RunStep::kFirst, "READ k"), "c" + std::to_string(i));
   BOOST_TEST(f.pool->connections() >= 8u);
   for (int i = 0; i < 8; ++i)
-    f.pool->Abandon(SessionKey{VmId("c" + std::to_string(i)), 1}, 1);
+    f.pool->Abandon(KeyOf("c" + std::to_string(i), 1), 1);
   BOOST_REQUIRE(f.RunUntil([&] { return f.pool->Idle(); }));
   f.RunUntil([until = Now() + Millis(100)] { return Now() > until; });
   size_t open = f.pool->connections();
@@ -343,7 +429,7 @@
   read.timeout = Seconds(3600);
   size_t come_back = 0;
   StatementStatus outcome = StatementStatus::kDone;
-  f.pool->Submit(read, SessionKey{VmId("a"), 1}, [&](const RunAnswer& answer) {
+  f.pool->Submit(read, KeyOf("a", 1), [&](const RunAnswer& answer) {
     ++come_back;
     outcome = answer.outcome;
   });
@@ -373,10 +459,10 @@
   size_t come_back = 0;
   StatementStatus outcome = StatementStatus::kDone;
   bool alone_ended = false;
-  f.pool->Submit(write, SessionKey{VmId("a"), 1},
+  f.pool->Submit(write, KeyOf("a", 1),
                  [&](const RunAnswer&) { alone_ended = true; });
   f.RunUntil([&] { return f.group.member(0).lose_answers == 1; });
-  f.pool->Submit(first, SessionKey{VmId("b"), 2}, [&](const RunAnswer& answer) {
+  f.pool->Submit(first, KeyOf("b", 2), [&](const RunAnswer& answer) {
     ++come_back;
     outcome = answer.outcome;
   });
