Bound a relay's connections by its layout, not by claimed slots

Cause: SetPoolBounds raised the limit of connections to the claimed slots plus one, and Warm opens as many in one go, also for groups without a limit.

A relay now opens connections ahead only to endpoints of groups that its layout names, and the layout's limit bounds connections and slots.

Before (old conditions put back): 501 connections where none and at most 8 are allowed, in endpoints_of_groups_that_no_layout_names_are_not_held and the_layout_bounds_the_connections_to_an_endpoint. With it: no errors.

--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -100,6 +100,9 @@
   void TakeCaller(boost::asio::ip::tcp::socket socket);
   void AssignSoon();
   void Assign();
+  /// Returns whether the layout names the group: only then may its endpoints be
+  /// connected to ahead of a statement.
+  bool Named(const GroupId& group) const;
   void UpdatePools();
   void ScheduleSweep();
   void Sweep();
@@ -133,7 +136,8 @@
   boost::asio::steady_timer assign_timer_;
   Directory directory_;
   std::map<EndpointId, Holders> holders_;
-  std::vector<EndpointId> held_;  ///< endpoints of which this VM is a holder
+  /// Endpoints of groups that the layout names, of which this VM is a holder.
+  std::vector<EndpointId> held_;
   bool assign_due_ = false;
   Time assigned_at_;
   std::shared_ptr<const Layout> layout_;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -31,6 +31,9 @@
 /// Connections to an endpoint that one holder may open, of all allowed: two
 /// VMs may hold some at once while holders change.
 constexpr double kHolderShare = 0.85;
+/// Connections to an endpoint whose group this relay's layout does not name.
+/// Only relays with a newer layout ask for it.
+constexpr uint32_t kUnnamedConnections = 4;
 /// Beyond its part, what a holder may have under way at an endpoint with
 /// several: a slot that another leaves idle, or that waits for a slow link,
 /// goes to whoever has work.
@@ -148,10 +151,17 @@
   holders_ = AssignHolders(directory_);
   held_.clear();
   for (const auto& [endpoint, holders] : holders_) {
-    if (SharersWith(endpoint) > 0) held_.push_back(endpoint);
+    auto record = directory_.endpoints.find(endpoint);
+    bool named =
+        record != directory_.endpoints.end() && Named(record->second.group);
+    if (named && SharersWith(endpoint) > 0) held_.push_back(endpoint);
   }
 }
 
+bool Relay::Named(const GroupId& group) const {
+  return layout_ && layout_->groups.contains(group);
+}
+
 /// Brings the pools in line with the directory and the holders.
 void Relay::UpdatePools() {
   for (auto it = pools_.begin(); it != pools_.end();) {
@@ -189,8 +199,11 @@
 }
 
 void Relay::OnLayout(std::shared_ptr<const Layout> layout) {
+  bool same_groups = layout_ && layout_->groups == layout->groups;
   layout_ = std::move(layout);
-  for (const auto& [id, pool] : pools_) SetPoolBounds(id, pool.get());
+  if (same_groups) return;
+  AssignSoon();
+  UpdatePools();
 }
 
 // ---- endpoints and their holders -------------------------------------------
@@ -265,20 +278,19 @@
     uint32_t sharers = 1;
     if (holders != holders_.end() && !holders->second.active.empty())
       sharers = static_cast<uint32_t>(holders->second.active.size());
-    bounds.slots = std::max<uint32_t>(1, known.slots / sharers);
-    if (sharers > 1) bounds.slots += kSlotsLent;
+    uint32_t slots = std::max<uint32_t>(1, known.slots / sharers);
+    if (sharers > 1) slots += kSlotsLent;
     bounds.leaving = known.leaving;
     auto primary = directory_.primaries.find(known.group);
     bounds.is_primary = primary != directory_.primaries.end() &&
                         primary->second.endpoint == endpoint;
-    uint32_t allowed = bounds.slots + 1;
-    if (layout_) {
-      auto group = layout_->groups.find(known.group);
-      if (group != layout_->groups.end()) allowed = group->second.connections;
-    }
+    uint32_t allowed = kUnnamedConnections;
+    if (Named(known.group))
+      allowed = layout_->groups.at(known.group).connections;
     double share = kHolderShare / sharers;
-    bounds.connections = std::max<uint32_t>(
-        bounds.slots + 1, static_cast<uint32_t>(allowed * share));
+    bounds.connections =
+        std::max<uint32_t>(1, static_cast<uint32_t>(allowed * share));
+    bounds.slots = std::min(slots, bounds.connections);
   }
   pool->SetBounds(bounds);
 }
--- a/relay/test/relay-test.cc
+++ b/relay/test/relay-test.cc
@@ -10,6 +10,7 @@
 
 #include "cardamomchute/platform/line_protocol.h"
 #include "cardamomchute/telemetry/metrics.h"
+#include "line_group.h"
 #include "scarce_descriptors.h"
 
 namespace cardamomchute {
@@ -39,6 +40,31 @@
   }
   ~LoneRelay() { relay->Stop(); }
 
+  void RunUntil(const std::function<bool()>& done) {
+    Time limit = Now() + Seconds(20);
+    while (!done() && Now() < limit)
+      io.run_one_for(std::chrono::milliseconds(10));
+  }
+
+  /// Has the relay know `record`, and itself as the only relay.
+  void Know(const EndpointRecord& record) {
+    DirectoryDelta delta;
+    delta.endpoints.push_back(record);
+    RelayRecord self;
+    self.vm = VmId("relay-a");
+    self.address = peers;
+    self.started_ms = 1;
+    delta.relays.push_back(self);
+    relay->OnDirectory(delta);
+  }
+  /// Gives the relay a layout of one group.
+  void Name(const std::string& group, uint32_t connections) {
+    Layout layout;
+    layout.version = 1;
+    layout.groups[GroupId(group)].connections = connections;
+    relay->OnLayout(std::make_shared<const Layout>(layout));
+  }
+
   /// Connects without being accepted yet.
   std::unique_ptr<tcp::socket> Connect(const Address& address) {
     std::unique_ptr<tcp::socket> socket = std::make_unique<tcp::socket>(io);
@@ -72,12 +98,47 @@
   caller->async_read_some(
       boost::asio::buffer(answer),
       [&](boost::system::error_code, size_t count) { answered = count; });
-  Time limit = Now() + Seconds(20);
-  while (answered == 0 && Now() < limit)
-    lone.io.run_one_for(std::chrono::milliseconds(10));
+  lone.RunUntil([&] { return answered > 0; });
   BOOST_TEST(answered > 0u);
 }
 
+/// Another writer may claim so many.
+constexpr uint32_t kManySlots = 500;
+
+/// Guards against one heartbeat that takes every relay over its memory: it
+/// names a group of no layout and claims many slots, and each relay opened a
+/// connection for each.
+BOOST_AUTO_TEST_CASE(endpoints_of_groups_that_no_layout_names_are_not_held) {
+  LoneRelay lone;
+  LineGroup group(&lone.io, "g9", 1);
+  EndpointRecord record = group.Record(0, "a", 1);
+  record.slots = kManySlots;
+  lone.Know(record);
+  lone.Name("g1", 8);
+  lone.io.run_for(std::chrono::milliseconds(300));
+  BOOST_TEST(group.member(0).connections == 0u);
+  // They are as soon as a layout names their group.
+  lone.Name("g9", 8);
+  lone.RunUntil([&] { return group.member(0).connections > 0; });
+  BOOST_TEST(group.member(0).connections > 0u);
+}
+
+/// Guards against connections beyond what the layout allows, however many slots
+/// an endpoint claims.
+BOOST_AUTO_TEST_CASE(the_layout_bounds_the_connections_to_an_endpoint) {
+  LoneRelay lone;
+  LineGroup group(&lone.io, "g9", 1);
+  constexpr uint32_t kAllowed = 8;
+  lone.Name("g9", kAllowed);
+  EndpointRecord record = group.Record(0, "a", 1);
+  record.slots = kManySlots;
+  lone.Know(record);
+  lone.RunUntil([&] { return group.member(0).connections > 0; });
+  lone.io.run_for(std::chrono::milliseconds(300));
+  BOOST_TEST(group.member(0).connections > 0u);
+  BOOST_TEST(group.member(0).connections <= kAllowed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
