Take announcements into the directory once a layout names their group

Cause: every well-formed announcement was merged, and a record replaces all endpoints with its address and an earlier start, of whatever group.

Starts that lie an hour ahead are refused.

Before (old condition put back): an_announcement_of_an_unnamed_group_ replaces_nobody and an_endpoint_that_left_ahead_of_its_layout_stays_away fail. With it: fleet-test and policy-test, no errors.

--- a/base/include/cardamomchute/base/time.h
+++ b/base/include/cardamomchute/base/time.h
@@ -62,7 +62,10 @@
 /// Reads the monotonic clock.
 Time Now();
 
-/// Microseconds on the same clock, for histograms only.
+/// Milliseconds since 1970 by this VM's wall clock, which may jump.
+uint64_t WallClockMs();
+
+/// Microseconds on the same clock as `Now`, for histograms only.
 int64_t NowMicros();
 
 }  // namespace cardamomchute
--- a/base/src/time.cc
+++ b/base/src/time.cc
@@ -2,6 +2,8 @@
 
 #include <time.h>
 
+#include <chrono>
+
 namespace cardamomchute {
 
 int64_t NowMicros() {
@@ -12,6 +14,13 @@
   return static_cast<int64_t>(now.tv_sec) * 1'000'000 + now.tv_nsec / 1000;
 }
 
+uint64_t WallClockMs() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 Time Now() { return Time(NowMicros() / 1000); }
 
 }  // namespace cardamomchute
--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -25,6 +25,7 @@
 #include "cardamomchute/peers/quorum_host.h"
 #include "cardamomchute/policy/layout.h"
 #include "cardamomchute/policy/layout_push.h"
+#include "cardamomchute/policy/unnamed_announcements.h"
 
 namespace cardamomchute {
 
@@ -74,8 +75,9 @@
   void PutLayout(std::string text, LayoutDone done);
   /// Returns the layout in force, after confirming the leadership.
   void GetLayout(LayoutDone done);
-  /// Adds an endpoint's announcement to the directory. Returns false if this
-  /// member has no contact with the leader.
+  /// Adds an endpoint's announcement to the directory, once a layout names its
+  /// group: until then it does not concern what the directory has under its id
+  /// or address. Returns false if this member has no contact with the leader.
   bool Announce(const EndpointRecord& record);
   /// Marks an endpoint as removed permanently. Returns false if this member has
   /// no contact with the leader.
@@ -135,6 +137,10 @@
   void SendToLeader(const FleetMessage& message);
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
+  bool NamesGroup(const GroupId& group);
+  void RefreshNamedGroups();
+  void KeepUnnamed(const EndpointRecord& record);
+  void AdmitUnnamed(Time now);
   void RenewPackedDirectory();
   const std::string& PackedDirectoryFor(const ConnectedRelay& relay);
   void SendDirectoryToNewRelays(Time now);
@@ -190,6 +196,10 @@
   uint64_t logged_confirmed_ = 0;  ///< last version logged as confirmed
   uint64_t logged_overdue_ = 0;    ///< last version logged as overdue
   Directory directory_;
+  UnnamedAnnouncements unnamed_;
+  /// The groups that layout `named_version_` names.
+  std::set<GroupId> named_groups_;
+  uint64_t named_version_ = 0;
   std::map<LogIndex, PendingPut> pending_;
   std::map<Link*, ConnectedRelay> relays_;
   std::map<Link*, WaitingRelay> waiting_;
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -24,13 +24,6 @@
 constexpr Duration kMoveTimeout = Seconds(1);
 constexpr LinkTiming kTiming = {Millis(400), Millis(1600)};
 
-uint64_t WallClockMs() {
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 }  // namespace
 
 ControlLink::ControlLink(ControlLinkParams params)
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -195,25 +195,6 @@
   return push;
 }
 
-bool FleetController::Announce(const EndpointRecord& record) {
-  if (!host_->HasLeaderContact(Now())) return false;
-  DirectoryDelta delta;
-  delta.endpoints.push_back(record);
-  TakeDelta(delta, false);
-  return true;
-}
-
-bool FleetController::Leave(const EndpointId& endpoint) {
-  if (!host_->HasLeaderContact(Now())) return false;
-  auto known = directory_.endpoints.find(endpoint);
-  if (known == directory_.endpoints.end()) return true;
-  DirectoryDelta delta;
-  delta.endpoints.push_back(known->second);
-  delta.endpoints.back().gone = true;
-  TakeDelta(delta, false);
-  return true;
-}
-
 void FleetController::ExpireRecords(Time now) {
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpiryInterval;
@@ -228,6 +209,7 @@
   ServeWaiting(now, has_leader_contact);
   if (has_leader_contact) NotifyFormerRelays(now);
   out_of_touch_ = !has_leader_contact;
+  AdmitUnnamed(now);
   ExpireRecords(now);
   if (host_->leading()) {
     rounds_.StartIfDue();
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -176,8 +176,58 @@
   BOOST_TEST(!b.went_back);
 }
 
-/// After a restart of all machines a relay knows only the seeds, and these may
-/// come back last.
+/// Guards against the loss of acknowledged writes: a live replica counted as
+/// gone after another writer had announced its address for a group that no
+/// layout names, and a replica that lacked commits was promoted.
+BOOST_AUTO_TEST_CASE(an_announcement_of_an_unnamed_group_replaces_nobody) {
+  Succession s;
+  EndpointRecord replica = s.group.Record(1, "a", 1);
+  EndpointRecord foreign = replica;
+  foreign.group = GroupId("nobody");
+  foreign.started_ms = replica.started_ms + 1;
+  const Directory& directory = s.listener->directory;
+  for (const EndpointId& id : {EndpointId("foreign"), replica.id}) {
+    foreign.id = id;
+    BOOST_TEST(s.cluster.At(0)->Announce(foreign));
+    s.cluster.RunUntil([] { return false; }, Millis(300));
+    BOOST_TEST(!directory.endpoints.contains(EndpointId("foreign")));
+    BOOST_TEST(!directory.endpoints.at(replica.id).gone);
+    BOOST_TEST((directory.endpoints.at(replica.id).group == replica.group));
+  }
+  BOOST_TEST(s.AnnounceAll());
+  Listener later(&s.cluster, "relay-b", 0);
+  BOOST_TEST(s.cluster.RunUntil(
+      [&] { return MembersOf(later.directory, GroupId("g1")).size() == 3; }));
+}
+
+/// Endpoints of a new group may announce themselves ahead of its layout.
+BOOST_AUTO_TEST_CASE(an_announcement_ahead_of_its_layout_is_taken_with_it) {
+  FleetControllerCluster cluster(3);
+  Listener relay(&cluster, "relay-a", 0);
+  boost::asio::io_context other;
+  LineGroup group(&other, "g1", 1);
+  BOOST_REQUIRE(cluster.RunUntil(
+      [&] { return cluster.At(0)->Announce(group.Record(0, "a", 1)); }));
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  BOOST_TEST(cluster.RunUntil(
+      [&] { return relay.directory.endpoints.contains(EndpointId("g1-0")); }));
+}
+
+/// An endpoint that has left does not come back with the layout of its group.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_left_ahead_of_its_layout_stays_away) {
+  FleetControllerCluster cluster(1);
+  Listener relay(&cluster, "relay-a", 0);
+  boost::asio::io_context other;
+  LineGroup group(&other, "g1", 1);
+  BOOST_REQUIRE(cluster.RunUntil(
+      [&] { return cluster.At(0)->Announce(group.Record(0, "a", 1)); }));
+  BOOST_TEST(cluster.At(0)->Leave(EndpointId("g1-0")));
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return relay.version == 1; }));
+  cluster.RunUntil([] { return false; }, Millis(300));
+  BOOST_TEST(relay.directory.endpoints.empty());
+}
+
 /// The directory that is packed for one relay serves those that follow it.
 BOOST_AUTO_TEST_CASE(relays_that_come_one_after_the_other_miss_no_change) {
   FleetControllerCluster cluster(3);
--- a/policy/include/cardamomchute/policy/directory.h
+++ b/policy/include/cardamomchute/policy/directory.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cardamomchute/base/error.h"
 #include "cardamomchute/base/ids.h"
 #include "cardamomchute/base/pack.h"
 #include "cardamomchute/base/time.h"
@@ -98,6 +99,17 @@
 /// announcements do not bring them back.
 inline constexpr Duration kRemovedRecordRetention = Seconds(60);
 
+/// An endpoint whose start lies further ahead of a VM's wall clock is refused.
+/// Wall clocks differ by seconds.
+inline constexpr Duration kMaxStartAhead = Seconds(3600);
+
+/// Returns an error if the endpoint says that it has yet to start, at `wall_ms`
+/// since 1970: it would replace what is at its address, and never be replaced.
+Status CheckStart(const EndpointRecord& record, uint64_t wall_ms);
+
+/// Returns whether `a` was announced after `b`, by the same endpoint.
+bool Newer(const EndpointRecord& a, const EndpointRecord& b);
+
 /// Adds the records of `from`, which may be newer than those of `to`.
 void Append(DirectoryDelta* to, const DirectoryDelta& from);
 
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -9,11 +9,6 @@
 /// Traffic of one busy slot on a holder's link, in each direction.
 constexpr double kSlotMbps = 1.0;
 
-bool Newer(const EndpointRecord& a, const EndpointRecord& b) {
-  return std::tie(a.started_ms, a.sequence) >
-         std::tie(b.started_ms, b.sequence);
-}
-
 bool Newer(const RelayRecord& a, const RelayRecord& b) {
   return std::tie(a.started_ms, a.sequence) >
          std::tie(b.started_ms, b.sequence);
@@ -87,6 +82,20 @@
 
 }  // namespace
 
+Status CheckStart(const EndpointRecord& record, uint64_t wall_ms) {
+  uint64_t latest = wall_ms + static_cast<uint64_t>(kMaxStartAhead.ms());
+  if (record.started_ms <= latest) return Ok();
+  return Error{ErrorKind::kInvalidInput,
+               "started at " + std::to_string(record.started_ms) +
+                   " ms, which is yet to come",
+               "set the clock of the endpoint's VM"};
+}
+
+bool Newer(const EndpointRecord& a, const EndpointRecord& b) {
+  return std::tie(a.started_ms, a.sequence) >
+         std::tie(b.started_ms, b.sequence);
+}
+
 uint32_t SlotsForBandwidth(double link_mbps) {
   double slots = std::clamp(link_mbps / kSlotMbps, 1.0,
                             static_cast<double>(kSlotsPerHolder));
--- a/policy/test/directory-test.cc
+++ b/policy/test/directory-test.cc
@@ -247,6 +247,19 @@
   BOOST_TEST(AssignHolders(directory).at(EndpointId("e1")).active.size() == 1u);
 }
 
+/// Guards against an endpoint that nobody can replace: a start that lies years
+/// ahead is later than that of every true one.
+BOOST_AUTO_TEST_CASE(a_start_that_is_yet_to_come_is_refused) {
+  constexpr uint64_t kWallMs = 1'700'000'000'000;
+  EndpointRecord record;
+  for (uint64_t started : {uint64_t{0}, kWallMs, kWallMs + 60'000}) {
+    record.started_ms = started;
+    BOOST_TEST(CheckStart(record, kWallMs).has_value());
+  }
+  record.started_ms = kWallMs * 2;
+  BOOST_TEST(!CheckStart(record, kWallMs));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
