End a line of the line protocol at CR LF only

Cause: TakeLine ended a line at each line feed, in both directions.

The tests' stand-in for a group ends its lines at CR LF only, too, so that it sees what an endpoint would.

--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -108,6 +108,19 @@
   BOOST_TEST(f.group.member(0).runs.size() == 2u);
 }
 
+/// Guards against a statement that runs in parts: a line feed is not the end of
+/// its line.
+BOOST_AUTO_TEST_CASE(a_statement_with_a_line_feed_runs_once_and_whole) {
+  Fixture f;
+  RunRequest write =
+      f.Request(RunStep::kSingle, "WRITE k a\nQUERY x WRITE k b");
+  RunAnswer wrote = f.Run(write);
+  BOOST_TEST((wrote.outcome == StatementStatus::kDone));
+  BOOST_REQUIRE(f.group.member(0).runs.size() == 1u);
+  BOOST_TEST(f.group.member(0).runs[0] == write.id + " " + write.text);
+  BOOST_TEST(f.group.commits() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_read_at_an_endpoint_that_lost_the_lead_does_not_run) {
   Fixture f;
   f.Run(f.Request(RunStep::kSingle, "READ k"));
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <istream>
+#include <iterator>
 #include <sstream>
+#include <string_view>
 
 namespace cardamomchute {
 
@@ -15,6 +16,14 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+constexpr std::string_view kLineEnd = "\r\n";
+
+/// The rest of a line, which may hold line feeds.
+std::string RestOf(std::istream* words) {
+  std::istreambuf_iterator<char> begin(*words >> std::ws);
+  return {begin, std::istreambuf_iterator<char>()};
+}
+
 /// One connection to a member: a line in, an answer out, in order.
 class LineSession : public std::enable_shared_from_this<LineSession> {
  public:
@@ -33,14 +42,12 @@
 
   void Read() {
     std::shared_ptr<LineSession> self = shared_from_this();
-    asio::async_read_until(socket_, in_, '\n',
-                           [self](error_code error, size_t) {
+    asio::async_read_until(socket_, asio::dynamic_buffer(in_), kLineEnd,
+                           [self](error_code error, size_t count) {
                              if (error) return self->Close();
-                             std::istream stream(&self->in_);
-                             std::string line;
-                             std::getline(stream, line);
-                             if (!line.empty() && line.back() == '\r')
-                               line.pop_back();
+                             std::string line =
+                                 self->in_.substr(0, count - kLineEnd.size());
+                             self->in_.erase(0, count);
                              self->OnLine(line);
                            });
   }
@@ -81,7 +88,7 @@
     std::string id;
     words >> id;
     std::string text;
-    std::getline(words >> std::ws, text);
+    text = RestOf(&words);
     if (id != "-") {
       member_->runs.push_back(id + " " + text);
       ++member_->running;
@@ -120,13 +127,13 @@
       words >> at;
       uint64_t number = std::stoull(at.substr(at.find('.') + 1));
       if (number > member_->applied) return Fail("LAGGING");
-      std::getline(words >> std::ws, text);
+      text = RestOf(&words);
       return Run(text);
     }
     std::string name;
     words >> name;
     std::string rest;
-    std::getline(words >> std::ws, rest);
+    rest = RestOf(&words);
     if (verb == "EXEC") {
       if (!prepared_.contains(name)) return Fail("NOSTMT");
       return Run(prepared_[name] + " " + rest);
@@ -235,7 +242,7 @@
   asio::steady_timer timer_;
   LineGroup* group_;
   LineMember* member_;
-  asio::streambuf in_;
+  std::string in_;
   std::string out_;
   char state_ = 'I';
   bool plain_ = false;
