Refuse odd announcements before they are used

Other operators reported machines that end again and again after one odd entry of another writer. Here slots in a named group did so: the relays served nothing any more. Long names were spread to all relays, an id or a service could end a line to an endpoint, a late start could replace a member for good, and large slots lost their upper bits.

Cause: numbers, sizes and texts from outside were used at their face value.

--- a/operators/src/json.cc
+++ b/operators/src/json.cc
@@ -44,6 +44,13 @@
   return record;
 }
 
+/// A number with a fraction, or beyond 64 bits, has no value as an integer.
+Duration ReadMillis(const json& number) {
+  if (!number.is_number_integer())
+    throw std::invalid_argument("not a whole number of milliseconds");
+  return Millis(number.get<int64_t>());
+}
+
 Address ReadAddress(const json& text) {
   std::optional<Address> address = ParseAddress(text.get<std::string>());
   if (!address) throw std::invalid_argument("\"address\" is not \"IP:port\"");
@@ -196,7 +203,7 @@
     endpoint.zone = ReadNamed<Zone>(object, "zone");
     endpoint.address = ReadAddress(object.at("address"));
     endpoint.leaving = object.value("leaving", false);
-    out.announcement.ttl = Millis(object.at("ttl_ms").get<int64_t>());
+    out.announcement.ttl = ReadMillis(object.at("ttl_ms"));
     return out;
   });
 }
--- a/operators/src/json_codec.h
+++ b/operators/src/json_codec.h
@@ -8,6 +8,7 @@
 
 #include "cardamomchute/base/error.h"
 #include "cardamomchute/base/ids.h"
+#include "cardamomchute/base/json_nesting.h"
 
 namespace cardamomchute {
 
@@ -39,6 +40,10 @@
 /// Parses `text` and reads it with `read`; kInvalidInput when either fails.
 template <typename T, typename Read>
 Result<T> DecodeWith(std::string_view text, Read read) {
+  if (!NestedWithinLimit(text)) {
+    return Error{ErrorKind::kInvalidInput, "nested too deeply",
+                 "see docs/operators/ for the keys and their types"};
+  }
   try {
     return read(nlohmann::json::parse(text));
   } catch (const std::exception& e) {
--- a/tests/fleet-test.cc
+++ b/tests/fleet-test.cc
@@ -28,6 +28,8 @@
 
 constexpr size_t kStewards = 3;
 constexpr size_t kRelays = 2;
+constexpr uint64_t kOddSequence = 1'000'000;
+constexpr size_t kOddLevels = 200'000;
 
 /// A caller with one connection; each answer's lines up to its READY.
 class Caller {
@@ -345,6 +347,32 @@
   }
 }
 
+/// What another writer may leave: nested deeply, with numbers too large, with
+/// ports out of range, with names that end a line or are spread to all.
+std::vector<std::string> OddAnnouncements() {
+  std::string valid =
+      AnnouncementText(Address{"127.0.0.1", 9}, false, kOddSequence);
+  auto with = [&valid](const std::string& from, const std::string& to) {
+    std::string odd = valid;
+    odd.replace(odd.find(from), from.size(), to);
+    return odd;
+  };
+  std::string deep(kOddLevels, '[');
+  std::string slots = "\"slots\":2";
+  return {deep,
+          with("{", "{\"more\":" + deep + std::string(kOddLevels, ']') + ","),
+          with(slots, "\"slots\":4294967295"),
+          with(slots, "\"slots\":18446744073709551616"),
+          with(slots, "\"slots\":1e999"),
+          with("\"born\":1", "\"born\":9223372036854775807"),
+          with(":9\"", ":70000\""),
+          with(":9\"", ":0\""),
+          with("\"g1\"", "\"nobody\""),
+          with("\"g1\"", "\"g1\\r\\nQUERY - WRITE k odd\""),
+          with("\"zone\":\"a\"",
+               "\"zone\":\"" + std::string(kOddLevels, 'z') + "\"")};
+}
+
 struct Served {
   Served() {
     BOOST_REQUIRE(fleet.PutLayout(1));
@@ -419,6 +447,32 @@
   s.Check();
 }
 
+/// Guards against processes that one odd announcement ends, or that no longer
+/// follow the directory after it.
+BOOST_AUTO_TEST_CASE(odd_announcements_end_no_process_and_hide_no_member) {
+  Served s;
+  for (const std::string& odd : OddAnnouncements()) {
+    for (const std::string id : {"odd", "g1-1", "odd%0d%0aQUERY%20-%20STATUS"})
+      s.fleet.AnySteward("POST", AnnouncementPath(EndpointId(id)), odd);
+  }
+  BOOST_TEST(s.Progress());
+  for (size_t i = 0; i < kStewards; ++i)
+    BOOST_TEST(s.fleet.steward(i).Running());
+  for (size_t i = 0; i < kRelays; ++i) BOOST_TEST(s.fleet.relay(i).Running());
+  // The directory is followed: the primary is replaced by who has announced.
+  s.fleet.WithGroup([](LineGroup& group) {
+    group.member(0).silent = true;
+    group.Kill(0);
+    return true;
+  });
+  BOOST_TEST(s.Progress());
+  for (size_t i = 0; i < kRelays; ++i)
+    BOOST_TEST(Caller(s.fleet.Callers(i)).open());
+  s.Check();
+  BOOST_TEST(s.fleet.WithGroup(
+                 [](LineGroup& group) { return group.CountOf("odd"); }) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_that_is_stopped_ends_by_itself) {
   Served s;
   BOOST_TEST(s.fleet.relay(0).Terminate(5));
