Let a relay be known again after its wall clock has gone back

The relay now takes a start above the first record that control sends of it.

Before (call taken out): a_relay_whose_clock_has_gone_back_is_known_again fails. With it: no errors.

--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -72,6 +72,7 @@
   void StartLink(const LinkPtr& link);
   void OnFrame(const LinkPtr& link, std::string_view body);
   void OnPush(DirectoryPush push);
+  void OutrunEarlierProcess(const std::vector<RelayRecord>& relays);
   void OnLost(const LinkPtr& link, const std::string& reason);
   void Lose(const std::string& reason);
   void SendReport();
@@ -98,7 +99,8 @@
   uint64_t layout_version_ = 0;     ///< taken
   uint64_t confirmed_version_ = 0;  ///< in force
   StoredLayout layout_;             ///< the one that was taken
-  uint64_t run_ms_ = 0;
+  uint64_t run_ms_ = 0;            ///< start of this process, for `RelayRecord`
+  bool knows_own_record_ = false;  ///< control has sent one of this VM
   uint64_t sequence_ = 0;
   Time next_report_;
   Time next_dial_;
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -221,7 +221,26 @@
   }
 }
 
+/// If the first record of this VM that control sends is newer than this
+/// process's own reports, it is of an earlier process, which started while the
+/// wall clock was ahead. Reports would be taken for older ones until that
+/// record is forgotten. Later records may be of a process that replaced this
+/// one.
+void ControlLink::OutrunEarlierProcess(const std::vector<RelayRecord>& relays) {
+  for (const RelayRecord& record : relays) {
+    if (record.vm != params_.vm || knows_own_record_) continue;
+    knows_own_record_ = true;
+    if (record.started_ms <= run_ms_) continue;
+    LogLine(LogLevel::kInfo, "wall_clock_went_back")
+        .Field("earlier_start_ms", record.started_ms)
+        .Field("start_ms", run_ms_);
+    run_ms_ = record.started_ms + 1;
+    SendReport();
+  }
+}
+
 void ControlLink::OnPush(DirectoryPush push) {
+  OutrunEarlierProcess(push.delta.relays);
   if (!push.members.empty()) members_ = push.members;
   failures_ = 0;
   if (push.layout_change) {
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -257,6 +257,28 @@
   }
 }
 
+/// Guards against a relay that counts as gone for a minute: it restarts after
+/// its wall clock has gone back, and its reports are taken for late ones.
+BOOST_AUTO_TEST_CASE(a_relay_whose_clock_has_gone_back_is_known_again) {
+  FleetControllerCluster cluster(1);
+  BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
+  Listener other(&cluster, "relay-b", 0);
+  uint64_t ahead = WallClockMs() + 10'000;
+  {
+    SlowRelay earlier(&cluster, 0, "relay-a", ahead);
+    BOOST_REQUIRE(cluster.RunUntil(
+        [&] { return other.directory.relays.contains(VmId("relay-a")); }));
+  }
+  Address peers{"127.0.0.1", 2};
+  Listener restarted(&cluster, "relay-a", 0, peers);
+  BOOST_TEST(cluster.RunUntil([&] {
+    return other.directory.relays.at(VmId("relay-a")).address == peers;
+  }));
+  // Once is enough: nobody else is there to be outrun.
+  BOOST_TEST(other.directory.relays.at(VmId("relay-a")).started_ms ==
+             ahead + 1);
+}
+
 BOOST_AUTO_TEST_CASE(relays_are_told_of_control_after_a_restart_of_all) {
   FleetControllerCluster cluster(5);
   Address peers{"127.0.0.90", cluster.AddressOf(0).port};
--- a/fleet/test/replacement_fixture.h
+++ b/fleet/test/replacement_fixture.h
@@ -73,7 +73,9 @@
 /// A relay that reads what it is sent, but routes by a layout only when told
 /// to.
 struct SlowRelay {
-  SlowRelay(FleetControllerCluster* cluster, size_t member) {
+  SlowRelay(FleetControllerCluster* cluster, size_t member,
+            const std::string& vm = "relay-slow", uint64_t started_ms = 0)
+      : vm(vm), started_ms(started_ms) {
     ConnectLink(cluster->io.get_executor(), cluster->AddressOf(member),
                 Seconds(2), [this](const std::shared_ptr<Link>& connected) {
                   if (!connected) return;
@@ -91,7 +93,8 @@
   /// Says that it routes by `version`.
   void Report(uint64_t version) {
     RelayReport report;
-    report.relay.vm = VmId("relay-slow");
+    report.relay.vm = VmId(vm);
+    report.relay.started_ms = started_ms;
     report.relay.address = Address{"127.0.0.1", 1};
     report.layout_version = version;
     report.takes_changes = true;
@@ -107,6 +110,8 @@
     if (push->layout_change) sent.push_back(push->layout_change->version);
   }
 
+  std::string vm;
+  uint64_t started_ms = 0;  ///< of its process
   std::shared_ptr<Link> link;
   std::vector<uint64_t> sent;  ///< versions of the layouts that it was sent
 };
