Close a draining relay's connections right after their answers

Cause: a drain closed only connections that it found idle every 50 ms; those were idle for 2 ms at a time.

A connection is now closed when its answer has been written and nothing else has come. Other relays that cannot hear of the drain from control are turned to the next holder after 1 s, instead of being cut at the end.

--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -107,6 +107,8 @@
   void ScheduleSweep();
   void Sweep();
   void CheckDrained();
+  /// Returns whether this VM takes no new statements from other VMs.
+  bool HandsOver() const;
   std::optional<Target> HolderOf(const EndpointRecord& endpoint) const;
   /// Returns the VM to use for the endpoint, port 0 for this one; nullopt if
   /// none is expected to reach it.
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -22,6 +22,9 @@
 /// The balancer still sends new callers for this long after a VM says that it
 /// is not ready.
 constexpr Duration kBalancerLag = Millis(2500);
+/// Other VMs learn from control that this one drains. Those that still send
+/// after this long have not, and are turned to the next holder.
+constexpr Duration kHandOver = Seconds(1);
 /// A holder that could not reach an endpoint is passed over this long.
 constexpr Duration kAvoidHolder = Millis(500);
 /// A report of an endpoint's load says nothing later than this.
@@ -77,6 +80,13 @@
                            RunDone done) {
     std::shared_ptr<Relay> self = weak.lock();
     if (!self) return;
+    if (self->HandsOver() && !InTransaction(request.step)) {
+      RunAnswer elsewhere;
+      elsewhere.number = request.number;
+      elsewhere.outcome = StatementStatus::kUnreachable;
+      elsewhere.detail = "this VM is about to stop";
+      return done(std::move(elsewhere));
+    }
     std::shared_ptr<EndpointPool> pool =
         self->PoolOf(request.endpoint, request.group, request.address);
     SessionKey key{from, request.session};
@@ -494,6 +504,10 @@
   CheckDrained();
 }
 
+bool Relay::HandsOver() const {
+  return draining_ && Now() - drain_start_ >= kHandOver;
+}
+
 void Relay::CheckDrained() {
   Duration spent = Now() - drain_start_;
   std::set<std::shared_ptr<RelayedSession>> sessions = sessions_;
--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -444,15 +444,23 @@
                       if (!self->queued_.empty()) return self->Write();
                       if (self->close_after_write_) return self->Close();
                       if (!self->attempt_ && self->in_used_ > 0) self->Parse();
+                      // A caller that always has a request under way is hardly
+                      // ever found idle otherwise.
+                      if (self->relay_->draining()) self->CloseIfIdle();
                     });
 }
 
 void RelayedSession::CloseIfIdle() {
+  if (closed_) return;
   // Whoever has just connected is about to ask.
   bool awaited = !served_ && Now() - last_use_ < kFirstStatement;
   bool idle = !attempt_ && transaction_ == Transaction::kNone &&
               writing_.empty() && in_used_ == 0 && !awaited;
-  if (idle) Close();
+  if (!idle) return;
+  // A request that has come is read and answered first.
+  error_code error;
+  bool unread = socket_.available(error) > 0 && !error;
+  if (!unread) Close();
 }
 
 void RelayedSession::CloseTransaction() {
