Take no more requests from a caller that reads no answers

Cause: a session read on and answered into a buffer without a bound, and kept up to 4 MiB of requests that wait.

A session now takes no request beyond 32 KiB of unread answers, and reads nothing beyond 16 KiB of waiting requests.

--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -13,8 +13,11 @@
 using boost::system::error_code;
 
 constexpr size_t kReadBytes = 2 * 1024;
-/// A caller that sends this much ahead of its answers is cut off.
-constexpr size_t kMaxAheadBytes = 4 * 1024 * 1024;
+/// Requests beyond this stay in the caller's connection until those before them
+/// are answered.
+constexpr size_t kMaxAheadBytes = 16 * 1024;
+/// Beyond this, no further request is taken until the caller has read answers.
+constexpr size_t kMaxUnreadBytes = 32 * 1024;
 /// What cannot be sent anywhere is tried again after this long.
 constexpr Duration kRetryPause = Millis(20);
 /// Part of a statement's time that it may wait without having been sent.
@@ -39,25 +42,33 @@
   Read();
 }
 
+/// Reads on, unless the caller has to read first, or has sent enough ahead.
 void RelayedSession::Read() {
+  bool enough = in_used_ >= kMaxAheadBytes && (attempt_ || HasUnread());
+  if (reading_ || closed_ || enough) return;
+  reading_ = true;
   if (in_.size() < in_used_ + kReadBytes) in_.resize(in_used_ + kReadBytes);
   std::shared_ptr<RelayedSession> self = shared_from_this();
   socket_.async_read_some(
       asio::buffer(in_.data() + in_used_, in_.size() - in_used_),
       [self](error_code error, size_t count) {
+        self->reading_ = false;
         if (self->closed_) return;
-        bool flood = self->in_used_ + count > kMaxAheadBytes;
-        if (error || flood) return self->Close();
+        if (error) return self->Close();
         self->in_used_ += count;
         self->Parse();
-        if (!self->closed_) self->Read();
+        self->Read();
       });
 }
 
+bool RelayedSession::HasUnread() const {
+  return queued_.size() + writing_.size() >= kMaxUnreadBytes;
+}
+
 /// One statement at a time: the next waits in the buffer.
 void RelayedSession::Parse() {
   size_t at = 0;
-  while (!closed_ && !close_after_write_ && !attempt_) {
+  while (!closed_ && !close_after_write_ && !attempt_ && !HasUnread()) {
     Result<Decoded<CallerMessage>> decoded =
         relay_->params().caller_protocol.decode(
             std::string_view(in_.data() + at, in_used_ - at));
@@ -444,6 +455,7 @@
                       if (!self->queued_.empty()) return self->Write();
                       if (self->close_after_write_) return self->Close();
                       if (!self->attempt_ && self->in_used_ > 0) self->Parse();
+                      self->Read();
                       // A caller that always has a request under way is hardly
                       // ever found idle otherwise.
                       if (self->relay_->draining()) self->CloseIfIdle();
--- a/relay/src/relayed_session.h
+++ b/relay/src/relayed_session.h
@@ -52,6 +52,8 @@
   };
 
   void Read();
+  /// Returns whether the caller has to read answers before more is taken.
+  bool HasUnread() const;
   void Parse();
   void OnMessage(CallerMessage message);
   void OnHello(const CallerHello& hello);
--- a/relay/test/relay-test.cc
+++ b/relay/test/relay-test.cc
@@ -268,6 +268,50 @@
   other->Close();
 }
 
+/// Guards against a caller that takes a relay over its memory: it sends on and
+/// reads no answers, and the relay kept them all.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_no_answers_is_not_read_either) {
+  // Far more than the buffers of both ends of a connection hold.
+  constexpr size_t kManyBytes = 64 * 1024 * 1024;
+  constexpr size_t kMaxIdleTurns = 50;
+  ServingRelay serving;
+  std::unique_ptr<tcp::socket> caller = serving.Connect(serving.callers);
+  std::string line = "QUERY q SET a b\r\n";
+  std::string hello = "CONNECT db x\r\n";
+  boost::asio::write(*caller, boost::asio::buffer(hello));
+  caller->non_blocking(true);
+  std::string block;
+  while (block.size() < 100 * line.size()) block += line;
+  size_t sent = 0;
+  size_t idle_turns = 0;
+  while (sent < kManyBytes && idle_turns < kMaxIdleTurns) {
+    boost::system::error_code error;
+    size_t at = sent % block.size();
+    size_t count = caller->write_some(
+        boost::asio::buffer(block.data() + at, block.size() - at), error);
+    sent += count;
+    idle_turns = count > 0 ? 0 : idle_turns + 1;
+    serving.io.run_for(std::chrono::milliseconds(count > 0 ? 0 : 10));
+  }
+  BOOST_TEST(sent < kManyBytes);
+  // Once the caller reads, each whole request is answered.
+  size_t asked = sent / line.size();
+  size_t answered = 0;
+  std::string in(64 * 1024, '\0');
+  std::string last;
+  serving.RunUntil([&] {
+    boost::system::error_code error;
+    size_t count = caller->read_some(boost::asio::buffer(in), error);
+    std::string text = last + in.substr(0, count);
+    for (size_t at = text.find("DONE"); at != std::string::npos;
+         at = text.find("DONE", at + 1))
+      ++answered;
+    last = text.substr(text.size() - std::min<size_t>(text.size(), 3));
+    return answered >= asked;
+  });
+  BOOST_TEST(answered == asked);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
