Split the relay's drain and the session's socket from their decisions

No change of behaviour; "leader" is "primary" in names and texts of relay/, as elsewhere (metric labels and log values stay). relay-test: no errors.

--- a/relay/include/cardamomchute/relay/relay_metrics.h
+++ b/relay/include/cardamomchute/relay/relay_metrics.h
@@ -27,7 +27,7 @@
   std::array<Counter*, kOutcomes> statements_;
   std::array<LatencyHistogram*, kRanksTold> spent_;
   Counter* replica_reads_;
-  Counter* leader_reads_;
+  Counter* primary_reads_;
   Gauge* sessions_;
 };
 
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -54,7 +54,7 @@
     std::unique_ptr<Job> job = std::move(it->second);
     it = jobs_.erase(it);
     Refuse(std::move(job), StatementStatus::kReadOnly,
-           "another endpoint leads now");
+           "another endpoint is the primary now");
   }
 }
 
--- a/relay/src/endpoint_pool_floors.cc
+++ b/relay/src/endpoint_pool_floors.cc
@@ -12,8 +12,8 @@
 bool EndpointPool::PlanFloor(Job* job, Time now) {
   const RunRequest& request = job->request;
   if (request.writes && request.step == RunStep::kSingle) return true;
-  bool leader_only = request.at_primary || request.writes;
-  if (leader_only) {
+  bool needs_primary = request.at_primary || request.writes;
+  if (needs_primary) {
     job->fenced = true;
     return true;
   }
@@ -53,7 +53,7 @@
         self->Enqueue(std::move(job));
       } else {
         self->Refuse(std::move(job), StatementStatus::kLagging,
-                     "no position of the leader is known");
+                     "no position of the primary is known");
       }
     }
     self->Dispatch();
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -15,16 +15,9 @@
 using boost::system::error_code;
 
 constexpr Duration kSweep = Millis(500);
-constexpr Duration kDrainStep = Millis(50);
 /// Minimum interval between two assignments of holders, which cost processor
 /// time in proportion to relays times endpoints.
 constexpr Duration kAssignInterval = Millis(150);
-/// The balancer still sends new callers for this long after a VM says that it
-/// is not ready.
-constexpr Duration kBalancerLag = Millis(2500);
-/// Other VMs learn from control that this one drains. Those that still send
-/// after this long have not, and are turned to the next holder.
-constexpr Duration kHandOver = Seconds(1);
 /// A holder that could not reach an endpoint is passed over this long.
 constexpr Duration kAvoidHolder = Millis(500);
 /// A report of an endpoint's load says nothing later than this.
@@ -409,7 +402,7 @@
                    answer.outcome == StatementStatus::kMisrouted ||
                    answer.outcome == StatementStatus::kTooManyConnections;
       if (avoid) self->Avoid(endpoint, holder);
-      // Reads turn to another replica; only the leader has no substitute.
+      // Reads turn to another replica; only the primary has no substitute.
       bool lagging = answer.outcome == StatementStatus::kLagging ||
                      answer.outcome == StatementStatus::kBusy ||
                      answer.outcome == StatementStatus::kUnreachable;
@@ -439,14 +432,14 @@
 
 void Relay::AskFloor(const GroupId& group,
                      std::function<void(std::optional<FloorAnswer>)> done) {
-  std::optional<Target> leader = PrimaryOf(group);
-  if (!leader) return done(std::nullopt);
+  std::optional<Target> primary = PrimaryOf(group);
+  if (!primary) return done(std::nullopt);
   FloorQuestion question;
-  question.endpoint = leader->endpoint.id;
+  question.endpoint = primary->endpoint.id;
   question.group = group;
-  question.address = leader->endpoint.address;
-  if (leader->holder.port != 0)
-    return mesh_->AskFloor(leader->holder, question, std::move(done));
+  question.address = primary->endpoint.address;
+  if (primary->holder.port != 0)
+    return mesh_->AskFloor(primary->holder, question, std::move(done));
   PoolOf(question.endpoint, group, question.address)
       ->AnswerFloor([done](const FloorAnswer& answer) { done(answer); });
 }
@@ -493,48 +486,6 @@
   }
 }
 
-void Relay::Drain(Duration transactions, Duration limit,
-                  std::function<void()> done) {
-  if (draining_) return;
-  draining_ = true;
-  drain_start_ = Now();
-  drain_transactions_ = transactions;
-  drain_limit_ = limit;
-  drained_ = std::move(done);
-  CheckDrained();
-}
-
-bool Relay::HandsOver() const {
-  return draining_ && Now() - drain_start_ >= kHandOver;
-}
-
-void Relay::CheckDrained() {
-  Duration spent = Now() - drain_start_;
-  std::set<std::shared_ptr<RelayedSession>> sessions = sessions_;
-  for (const std::shared_ptr<RelayedSession>& session : sessions) {
-    session->CloseIfIdle();
-    if (spent >= drain_transactions_) session->CloseTransaction();
-  }
-  bool pools_idle =
-      std::all_of(pools_.begin(), pools_.end(),
-                  [](const auto& item) { return item.second->Idle(); });
-  bool quiet = sessions_.empty() && pools_idle && spent >= kBalancerLag;
-  if (quiet || spent >= drain_limit_) {
-    LogLine(LogLevel::kInfo, "drained")
-        .Field("spent_ms", spent.ms())
-        .Field("sessions_left", sessions_.size())
-        .Field("pools_idle", pools_idle);
-    if (drained_) std::exchange(drained_, nullptr)();
-    return;
-  }
-  drain_timer_.expires_after(std::chrono::milliseconds(kDrainStep.ms()));
-  std::weak_ptr<Relay> weak = weak_from_this();
-  drain_timer_.async_wait([weak](error_code cancelled) {
-    std::shared_ptr<Relay> self = weak.lock();
-    if (self && !cancelled) self->CheckDrained();
-  });
-}
-
 void Relay::Stop() {
   listener_->Close();
   timer_.cancel();
--- a/relay/src/relay_metrics.cc
+++ b/relay/src/relay_metrics.cc
@@ -13,7 +13,7 @@
 RelayMetrics::RelayMetrics(Metrics* metrics)
     : replica_reads_(
           &metrics->GetCounter("relay_reads_total", "from=\"replica\"")),
-      leader_reads_(
+      primary_reads_(
           &metrics->GetCounter("relay_reads_total", "from=\"leader\"")),
       sessions_(&metrics->GetGauge("relay_sessions")) {
   for (size_t i = 0; i < kOutcomes; ++i) {
@@ -35,7 +35,7 @@
 }
 
 void RelayMetrics::CountRead(bool replica) {
-  (replica ? replica_reads_ : leader_reads_)->Add();
+  (replica ? replica_reads_ : primary_reads_)->Add();
 }
 
 void RelayMetrics::SetSessions(size_t sessions) {
--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -1,6 +1,5 @@
 #include "relayed_session.h"
 
-#include <boost/asio/write.hpp>
 #include <chrono>
 #include <utility>
 
@@ -12,19 +11,11 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr size_t kReadBytes = 2 * 1024;
-/// Requests beyond this stay in the caller's connection until those before them
-/// are answered.
-constexpr size_t kMaxAheadBytes = 16 * 1024;
-/// Beyond this, no further request is taken until the caller has read answers.
-constexpr size_t kMaxUnreadBytes = 32 * 1024;
 /// What cannot be sent anywhere is tried again after this long.
 constexpr Duration kRetryPause = Millis(20);
 /// Part of a statement's time that it may wait without having been sent.
 constexpr int64_t kHoldPercent = 35;
 constexpr int kMaxSends = 8;
-/// While the VM drains, a new session gets this long for its first statement.
-constexpr Duration kFirstStatement = Millis(500);
 
 }  // namespace
 
@@ -36,56 +27,6 @@
       number_(number),
       last_use_(Now()) {}
 
-void RelayedSession::Start() {
-  error_code ignored;
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  Read();
-}
-
-/// Reads on, unless the caller has to read first, or has sent enough ahead.
-void RelayedSession::Read() {
-  bool enough = in_used_ >= kMaxAheadBytes && (attempt_ || HasUnread());
-  if (reading_ || closed_ || enough) return;
-  reading_ = true;
-  if (in_.size() < in_used_ + kReadBytes) in_.resize(in_used_ + kReadBytes);
-  std::shared_ptr<RelayedSession> self = shared_from_this();
-  socket_.async_read_some(
-      asio::buffer(in_.data() + in_used_, in_.size() - in_used_),
-      [self](error_code error, size_t count) {
-        self->reading_ = false;
-        if (self->closed_) return;
-        if (error) return self->Close();
-        self->in_used_ += count;
-        self->Parse();
-        self->Read();
-      });
-}
-
-bool RelayedSession::HasUnread() const {
-  return queued_.size() + writing_.size() >= kMaxUnreadBytes;
-}
-
-/// One statement at a time: the next waits in the buffer.
-void RelayedSession::Parse() {
-  size_t at = 0;
-  while (!closed_ && !close_after_write_ && !attempt_ && !HasUnread()) {
-    Result<Decoded<CallerMessage>> decoded =
-        relay_->params().caller_protocol.decode(
-            std::string_view(in_.data() + at, in_used_ - at));
-    if (!decoded) {
-      LogLine(LogLevel::kInfo, "caller_refused")
-          .Field("session", number_)
-          .Field("error", ToString(decoded.error()));
-      return Close();
-    }
-    if (decoded.value().used == 0) break;
-    at += decoded.value().used;
-    OnMessage(std::move(*decoded.value().message));
-  }
-  in_.erase(0, at);
-  in_used_ -= at;
-}
-
 void RelayedSession::OnMessage(CallerMessage message) {
   last_use_ = Now();
   if (std::get_if<CallerQuit>(&message) != nullptr) return Close();
@@ -431,77 +372,4 @@
   return TransactionState::kFailed;
 }
 
-// ---- the socket ------------------------------------------------------------
-
-void RelayedSession::Answer(const StatementResult& result) {
-  const CallerProtocol& protocol = relay_->params().caller_protocol;
-  protocol.encode_result(result, &queued_);
-  protocol.encode_ready(State(), at_, &queued_);
-  served_ = true;
-  last_use_ = Now();
-  if (writing_.empty()) Write();
-}
-
-void RelayedSession::Write() {
-  if (closed_ || queued_.empty()) return;
-  writing_.swap(queued_);
-  queued_.clear();
-  std::shared_ptr<RelayedSession> self = shared_from_this();
-  asio::async_write(socket_, asio::buffer(writing_),
-                    [self](error_code error, size_t) {
-                      if (self->closed_) return;
-                      if (error) return self->Close();
-                      self->writing_.clear();
-                      if (!self->queued_.empty()) return self->Write();
-                      if (self->close_after_write_) return self->Close();
-                      if (!self->attempt_ && self->in_used_ > 0) self->Parse();
-                      self->Read();
-                      // A caller that always has a request under way is hardly
-                      // ever found idle otherwise.
-                      if (self->relay_->draining()) self->CloseIfIdle();
-                    });
-}
-
-void RelayedSession::CloseIfIdle() {
-  if (closed_) return;
-  // Whoever has just connected is about to ask.
-  bool awaited = !served_ && Now() - last_use_ < kFirstStatement;
-  bool idle = !attempt_ && transaction_ == Transaction::kNone &&
-              writing_.empty() && in_used_ == 0 && !awaited;
-  if (!idle) return;
-  // A request that has come is read and answered first.
-  error_code error;
-  bool unread = socket_.available(error) > 0 && !error;
-  if (!unread) Close();
-}
-
-void RelayedSession::CloseTransaction() {
-  if (!attempt_ && writing_.empty()) Close();
-}
-
-void RelayedSession::EndIdleTransaction(Time now) {
-  bool open = transaction_ == Transaction::kOpen && !attempt_;
-  std::shared_ptr<const Layout> layout = relay_->layout();
-  if (!open || !layout || now - last_use_ < layout->idle_transaction) return;
-  LogLine(LogLevel::kInfo, "idle_transaction_ended")
-      .Field("session", number_)
-      .Field("endpoint", target_->endpoint.id)
-      .Field("idle_ms", (now - last_use_).ms());
-  AbandonTransaction();
-  transaction_ = Transaction::kFailed;
-}
-
-void RelayedSession::Close() {
-  if (closed_) return;
-  closed_ = true;
-  timer_.cancel();
-  error_code ignored;
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-  socket_.close(ignored);
-  // A statement that still waits for its turn need not run any more.
-  AbandonTransaction();
-  attempt_ = nullptr;
-  relay_->Remove(shared_from_this());
-}
-
 }  // namespace cardamomchute
