Keep the holders when a layout changes, and drained sessions for a while

The layout that a starting relay gets first had holders assigned from an empty directory, so that the directory waited 150 ms for the next assignment, and the relay opened connections of its own meanwhile. And callers closed after an answer came back to the same relay for as long as the balancer still sent them there.

Named groups are now looked up without assigning holders anew, and sessions are closed after answers only once the balancer sends nobody.

--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -79,7 +79,9 @@
   const RelayParams& params() const { return params_; }
   RelayMetrics& metrics() { return metrics_; }
   std::shared_ptr<const Layout> layout() const { return layout_; }
-  bool draining() const { return draining_; }
+  /// Returns whether a session is to be closed as soon as it is idle. Until the
+  /// balancer sends new callers elsewhere, whoever is closed comes back here.
+  bool ClosesAfterAnswers() const;
   uint64_t NextRun() { return ++next_run_; }
   /// Returns the group's primary, through a VM that is expected to reach it.
   std::optional<Target> PrimaryOf(const GroupId& group) const;
@@ -100,6 +102,7 @@
   void TakeCaller(boost::asio::ip::tcp::socket socket);
   void AssignSoon();
   void Assign();
+  void UpdateHeld();
   /// Returns whether the layout names the group: only then may its endpoints be
   /// connected to ahead of a statement.
   bool Named(const GroupId& group) const;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -152,6 +152,11 @@
   assign_due_ = false;
   assigned_at_ = Now();
   holders_ = AssignHolders(directory_);
+  UpdateHeld();
+}
+
+/// Which groups are named changes with the layout, holders do not.
+void Relay::UpdateHeld() {
   held_.clear();
   for (const auto& [endpoint, holders] : holders_) {
     auto record = directory_.endpoints.find(endpoint);
@@ -205,7 +210,7 @@
   bool same_groups = layout_ && layout_->groups == layout->groups;
   layout_ = std::move(layout);
   if (same_groups) return;
-  AssignSoon();
+  UpdateHeld();
   UpdatePools();
 }
 
--- a/relay/src/relay_drain.cc
+++ b/relay/src/relay_drain.cc
@@ -39,6 +39,11 @@
   return draining_ && Now() - drain_start_ >= kHandOver;
 }
 
+bool Relay::ClosesAfterAnswers() const {
+  return draining_ &&
+         Now() - drain_start_ >= std::min(kBalancerLag, drain_limit_ / 2);
+}
+
 void Relay::CheckDrained() {
   Duration spent = Now() - drain_start_;
   std::set<std::shared_ptr<RelayedSession>> sessions = sessions_;
--- a/relay/src/relayed_session_socket.cc
+++ b/relay/src/relayed_session_socket.cc
@@ -96,7 +96,8 @@
                       self->Read();
                       // A caller that always has a request under way is hardly
                       // ever found idle otherwise.
-                      if (self->relay_->draining()) self->CloseIfIdle();
+                      if (self->relay_->ClosesAfterAnswers())
+                        self->CloseIfIdle();
                     });
 }
 
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -326,7 +326,10 @@
       members_.begin(), members_.end(),
       [](const std::unique_ptr<LineMember>& m) { return m->is_primary; });
   if (!has_primary) return false;
+  if (Due(Plant::kLost)) return true;
   log_.insert(log_.end(), commits.begin(), commits.end());
+  if (Due(Plant::kDoubled))
+    log_.insert(log_.end(), commits.begin(), commits.end());
   bool received = members_.size() == 1;
   for (const std::unique_ptr<LineMember>& member : members_) {
     bool deaf = member->cut_off || member->paused_below > term_;
@@ -351,9 +354,19 @@
   return 0;
 }
 
+bool LineGroup::Due(Plant plant) const {
+  constexpr uint64_t kEvery = 5;
+  return plant == plant_ && ++plant_turns_ % kEvery == 0;
+}
+
 std::string LineGroup::Latest(const std::string& item, uint64_t applied) const {
+  bool mixed = Due(Plant::kMixed);
+  int skipped = Due(Plant::kStale) ? 1 : 0;
   for (size_t i = std::min<size_t>(applied, log_.size()); i > 0; --i) {
-    if (log_[i - 1].item == item) return log_[i - 1].data;
+    bool other = log_[i - 1].item != item;
+    if (other != mixed) continue;
+    if (skipped-- > 0) continue;
+    return log_[i - 1].data;
   }
   return "none";
 }
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -43,6 +43,11 @@
   size_t most_running = 0;
 };
 
+/// A broken rule, planted to show that a checker finds it: every few times a
+/// commit is acknowledged and not kept, or kept twice, or a read returns what
+/// was there before, or another item.
+enum class Plant : uint8_t { kNone, kLost, kDoubled, kStale, kMixed };
+
 class LineGroup {
  public:
   LineGroup(boost::asio::io_context* io, std::string name, size_t members);
@@ -62,6 +67,7 @@
   bool Commit(const std::string& item, const std::string& data);
   /// Closes the listener and all connections of a member.
   void Kill(size_t i);
+  void SetPlant(Plant plant) { plant_ = plant; }
   /// Each statement takes this long.
   void SetWork(Duration work) { work_ = work; }
   uint64_t commits() const { return log_.size(); }
@@ -85,11 +91,15 @@
   /// acknowledged.
   bool Append(const std::vector<LogEntry>& commits);
   std::string Latest(const std::string& item, uint64_t applied) const;
+  /// Whether `plant` is due now.
+  bool Due(Plant plant) const;
 
   boost::asio::io_context* io_;
   std::string name_;
   uint64_t term_ = 1;
   bool replaced_goes_on_ = false;
+  Plant plant_ = Plant::kNone;
+  mutable uint64_t plant_turns_ = 0;
   Duration work_ = Millis(1);
   std::vector<LogEntry> log_;
   std::vector<std::unique_ptr<LineMember>> members_;
