--- a/tests/process.cc
+++ b/tests/process.cc
@@ -7,12 +7,15 @@
 #include <boost/process.hpp>
 #include <chrono>
 #include <iterator>
+#include <thread>
 
 namespace cardamomchute::testing {
 namespace {
 
 namespace bp = boost::process;
 
+constexpr std::chrono::milliseconds kWaitStep(10);
+
 std::string PathOf(const std::string& program) {
   return std::string(PROGRAM_FOLDER) + "/" + program;
 }
@@ -74,9 +77,13 @@
 
 bool Process::Terminate(int seconds) {
   impl_->Signal(SIGTERM);
-  std::error_code error;
-  bool ended = impl_->child_.wait_for(std::chrono::seconds(seconds), error);
-  return ended && impl_->child_.exit_code() == 0;
+  // Not child::wait_for: it waits for SIGCHLD, which another thread that waits
+  // for its own child may get, and then never returns.
+  std::chrono::steady_clock::time_point limit =
+      std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+  while (impl_->child_.running() && std::chrono::steady_clock::now() < limit)
+    std::this_thread::sleep_for(kWaitStep);
+  return !impl_->child_.running() && impl_->child_.exit_code() == 0;
 }
 
 bool Process::Running() { return impl_->child_.running(); }
