--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -279,6 +279,8 @@
              ahead + 1);
 }
 
+/// After a restart of all machines a relay knows only the seeds, and these may
+/// come back last.
 BOOST_AUTO_TEST_CASE(relays_are_told_of_control_after_a_restart_of_all) {
   FleetControllerCluster cluster(5);
   Address peers{"127.0.0.90", cluster.AddressOf(0).port};
