Log the evidence for a promotion, and how a replacement ends

The answers to the pause are logged as those to the status query are, an order and its answer with token, former primary and end of its log, and the end of a run is an event.

--- a/fleet/src/primary_replacement.cc
+++ b/fleet/src/primary_replacement.cc
@@ -22,6 +22,20 @@
 /// The replacement is abandoned after this long; a new one may then start.
 constexpr Duration kReplacementTimeout = Seconds(6);
 
+void LogStatus(const GroupId& group, const std::vector<MemberStatus>& answers) {
+  for (const MemberStatus& answer : answers) {
+    LogLine(LogLevel::kInfo, "succession_look")
+        .Field("group", group)
+        .Field("endpoint", answer.endpoint.id)
+        .Field("answered", answer.answered)
+        .Field("leads", answer.is_primary)
+        .Field("term", answer.term)
+        .Field("received", ToString(answer.received))
+        .Field("paused_below", answer.paused_below)
+        .Field("lag_ms", answer.lag.ms());
+  }
+}
+
 }  // namespace
 
 PrimaryReplacement::PrimaryReplacement(PrimaryReplacementParams params)
@@ -33,7 +47,8 @@
   LogLine(LogLevel::kInfo, "succession_started")
       .Field("group", params_.group)
       .Field("lead", params_.primary)
-      .Field("cause", ToString(params_.cause));
+      .Field("cause", ToString(params_.cause))
+      .Field("confirmed", params_.is_confirmed());
   QueryStatus();
 }
 
@@ -57,6 +72,11 @@
 
 void PrimaryReplacement::Finish() {
   if (stopped_) return;
+  LogLine(LogLevel::kInfo, "succession_ended")
+      .Field("group", params_.group)
+      .Field("cause", ToString(params_.cause))
+      .Field("took_ms", (Now() - started_).ms())
+      .Field("order_sent", request_.has_value());
   Stop();
   params_.done();
 }
@@ -79,17 +99,7 @@
 }
 
 void PrimaryReplacement::OnStatusAnswers(const Answers& answers) {
-  for (const MemberStatus& answer : answers) {
-    LogLine(LogLevel::kInfo, "succession_look")
-        .Field("group", params_.group)
-        .Field("endpoint", answer.endpoint.id)
-        .Field("answered", answer.answered)
-        .Field("leads", answer.is_primary)
-        .Field("term", answer.term)
-        .Field("received", ToString(answer.received))
-        .Field("paused_below", answer.paused_below)
-        .Field("lag_ms", answer.lag.ms());
-  }
+  LogStatus(params_.group, answers);
   PrimaryCheck check;
   check.primary = params_.primary;
   check.cause = params_.cause;
@@ -194,6 +204,7 @@
 void PrimaryReplacement::PauseAll(Term term) {
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
   AskAll(CommandKind::kPause, term, false, [self](Answers answers) {
+    LogStatus(self->params_.group, answers);
     // The old primary was not paused, as it may not respond.
     for (const EndpointRecord& member : self->params_.members()) {
       if (member.id != self->params_.primary) continue;
@@ -234,7 +245,10 @@
   LogLine(LogLevel::kInfo, "promote")
       .Field("group", request_->group)
       .Field("endpoint", request_->endpoint)
-      .Field("token", request_->fence_token);
+      .Field("token", request_->fence_token)
+      .Field("former", params_.primary)
+      .Field("log_end",
+             former_.log_end ? ToString(*former_.log_end) : "unknown");
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
   params_.promote(*request_, [self](PromoteOutcome outcome) {
     if (!self->stopped_) self->OnPromoteOutcome(outcome);
@@ -247,7 +261,9 @@
   LogLine(LogLevel::kInfo, "promote_answered")
       .Field("group", request_->group)
       .Field("endpoint", request_->endpoint)
-      .Field("outcome", static_cast<int>(outcome));
+      .Field("token", request_->fence_token)
+      .Field("outcome", static_cast<int>(outcome))
+      .Field("took_ms", (Now() - called_).ms());
   bool no_effect = outcome == PromoteOutcome::kRefused ||
                    outcome == PromoteOutcome::kNotSent;
   if (!no_effect) return;
