Replace a primary in steps that are tried without I/O, and end its leases first

The steps of PrimaryReplacement move to policy/replacement_steps as a state machine: answers and times in, commands and orders out. A primary that does not answer is replaced only after all leases on it have ended; the replicas are paused, and the successor is chosen, after that. Confirmation of a primary is needed on all deployments now. Whoever is found leading is kept only if no order is known to be outstanding, whether recorded or not. A replica that does not answer is not waited for if another one has the whole log of a demoted primary.

The check in a_primary_does_not_stay_while_a_request_may_take_effect that another endpoint is kept while an order is outstanding named the fault, and is reversed.

Relays do not ask for leases where the platform checks fences yet; that follows.

--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -21,6 +21,7 @@
 #include "cardamomchute/fleet/messages.h"
 #include "cardamomchute/fleet/primary_lease_server.h"
 #include "cardamomchute/fleet/primary_replacement.h"
+#include "cardamomchute/fleet/replicated_state.h"
 #include "cardamomchute/peers/leadership_barrier.h"
 #include "cardamomchute/peers/quorum_host.h"
 #include "cardamomchute/policy/layout.h"
@@ -126,6 +127,7 @@
   QuorumHooks Hooks();
   void Apply(const LogEntry& entry);
   void Restore(const std::string& bytes);
+  void TakeLayout(ReplicatedState state);
   void OnLeadershipChange(bool is_leader);
   void OnTick(Time now);
   void OnFrame(const LinkPtr& link, std::string_view body);
@@ -174,9 +176,16 @@
   void StartSuccession(const GroupId& group, PrimaryReplacementCause cause,
                        Duration lag_bound = Duration());
   std::optional<GrantableLeases> Grantable() const;
-  /// Time until which relays may use the group's former primary.
-  Time LeasesEndOf(const GroupId& group) const;
-  void ConfirmAndRun(std::function<void(Time)> run);
+  PrimaryReplacementParams ReplacementParams(const GroupId& group,
+                                             PrimaryReplacementCause cause,
+                                             Duration lag_bound);
+  /// Whether this leader knows what was recorded before its election.
+  bool KnowsOrders() const;
+  const PromotionOrders& OrdersOf(const GroupId& group) const;
+  /// Records the group's orders. Runs `done` once a quorum has them, with the
+  /// time until which no other leader sends orders.
+  void RecordOrders(const GroupId& group, const PromotionOrders& orders,
+                    std::function<void(Time)> done);
   std::vector<EndpointRecord> CountedMembers(const GroupId& group) const;
   /// Returns the layout in force, parsed when it is first needed: replaying
   /// the log applies many. Null if there is none.
@@ -187,6 +196,9 @@
   LeadershipBarrier rounds_;
   PrimaryLeaseServer leases_;
   StoredLayout layout_;
+  /// Orders to promote that may take effect, as recorded in the log.
+  std::map<GroupId, PromotionOrders> orders_;
+  QuorumTerm applied_term_;  ///< of the last log entry that was applied
   mutable std::optional<Layout> parsed_;
   bool layout_due_ = false;  ///< not yet pushed to all relays
   /// Texts of layouts that relays hold, by version.
@@ -209,7 +221,7 @@
   Time packed_until_;
   std::map<GroupId, std::shared_ptr<PrimaryReplacement>> successions_;
   /// Groups whose recorded primary this leader knows to be the only one, and
-  /// for which it has no request to promote outstanding.
+  /// that no order can replace.
   std::set<GroupId> confirmed_;
   std::map<GroupId, Time> next_review_;
   std::map<GroupId, Time> primary_set_at_;
--- a/fleet/include/cardamomchute/fleet/primary_replacement.h
+++ b/fleet/include/cardamomchute/fleet/primary_replacement.h
@@ -1,7 +1,6 @@
-/// Replaces the primary of one group: queries the endpoints, demotes the old
-/// primary if it can be reached, pauses replication on the replicas, promotes
-/// one and waits until it is the primary. The decisions are made by the policy
-/// library.
+/// Replaces the primary of one group: performs the steps that the policy
+/// library decides (policy/replacement_steps.h), by commands to the group's
+/// endpoints and orders to the platform.
 #ifndef CARDAMOMCHUTE_FLEET_PRIMARY_REPLACEMENT_H_
 #define CARDAMOMCHUTE_FLEET_PRIMARY_REPLACEMENT_H_
 
@@ -10,10 +9,9 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <vector>
 
-#include "cardamomchute/policy/primary_replacement.h"
+#include "cardamomchute/policy/replacement_steps.h"
 #include "cardamomchute/relay/command_connection.h"
 
 namespace cardamomchute {
@@ -23,20 +21,12 @@
   GroupId group;
   EndpointId endpoint;
   VmId holder;  ///< requesting control member
-  /// Increases with each control leader and each newly chosen endpoint.
   uint64_t fence_token = 0;
   /// Another control leader may have sent a request after this time: the
   /// request is dropped unless it can be written before.
   Time send_before;
 };
 
-enum class PromoteOutcome : uint8_t {
-  kAccepted,  ///< the promotion will be carried out
-  kRefused,   ///< stale token, or the endpoint is not running
-  kUnknown,   ///< no conclusive answer; the promotion may still happen
-  kNotSent    ///< dropped: too late to send it, or no connection
-};
-
 using PromoteFunction = std::function<void(
     const PromoteRequest&, std::function<void(PromoteOutcome)>)>;
 
@@ -44,28 +34,21 @@
   boost::asio::any_io_executor executor;
   const EndpointProtocol* protocol = nullptr;
   GroupId group;
-  EndpointId primary;  ///< empty if unknown
-  PrimaryReplacementCause cause = PrimaryReplacementCause::kReview;
-  /// kLagging: a replica with a higher lag can serve almost no reads.
-  Duration lag_bound;
   VmId holder;
+  /// What is known at the start, see the first part of Replacement.
+  Replacement run;
   /// Returns the group's current members without those lost permanently.
   std::function<std::vector<EndpointRecord>()> members;
-  std::function<uint64_t()> next_token;
-  /// Whether this control leader has confirmed the primary and has sent no
-  /// request to promote since.
-  std::function<bool()> is_confirmed;
-  /// Returns the time until which relays may use the former primary.
-  std::function<Time()> leases_end;
-  /// Returns the time until which an earlier control leader may send requests
-  /// to promote; this one sends none before.
-  std::function<Time()> first_request_at;
-  /// Runs its argument once a quorum has confirmed that this VM is the leader,
-  /// with the time until which no other leader sends requests.
-  std::function<void(std::function<void(Time)>)> confirm_leadership;
+  /// Notes that the recorded primary is no longer known to be the only one, and
+  /// runs its argument once no relay has a lease on it.
+  std::function<void(std::function<void()>)> end_leases;
+  /// Records the group's orders in the quorum's log, and runs its argument once
+  /// a quorum has them, with the time until which no other leader sends orders.
+  std::function<void(const PromotionOrders&, std::function<void(Time)>)>
+      record_orders;
   PromoteFunction promote;
-  /// Notes that a request to promote is about to be sent.
-  std::function<void()> on_request;
+  /// Notes that the recorded primary is about to be replaced.
+  std::function<void()> on_unconfirmed;
   /// Notes that the primary that `adopt` records is known to be the only one.
   std::function<void()> on_confirmed;
   /// Records the endpoint as primary in the given term.
@@ -80,57 +63,47 @@
 
   void Start();
   void Stop();
-  /// Takes a relay's report on the primary into account: a check for another
-  /// reason may then replace it, too.
+  /// Takes a relay's report on the primary into account.
   void Suspect(PrimaryReplacementCause cause);
 
  private:
   using Answers = std::vector<MemberStatus>;
 
-  void AskAll(CommandKind kind, Term term, bool lead_too,
+  /// Asks all endpoints but `except`.
+  void AskAll(CommandKind kind, Term term, const EndpointId& except,
               std::function<void(Answers)> done);
+  /// Asks one endpoint; `done` gets an empty answer if it is not a member.
+  void AskOne(const EndpointId& endpoint, const EndpointCommand& command,
+              Duration timeout, std::function<void(MemberStatus)> done);
   void Ask(const EndpointRecord& endpoint, const EndpointCommand& command,
            Time until, std::function<void(MemberStatus)> done);
   void SendOn(const std::shared_ptr<CommandConnection>& connection,
               const EndpointRecord& endpoint, const EndpointCommand& command,
               Time until, std::function<void(MemberStatus)> done);
-  void QueryStatus();
-  void OnStatusAnswers(const Answers& answers);
-  void Demote(const EndpointRecord& primary, Term term);
-  void OnDemoted(const MemberStatus& answer);
-  void RecordDemoted(const MemberStatus& answer);
-  void Decide(const Answers& answers);
-  void Keep(const Answers& answers, const MemberStatus& leader);
-  void PauseAll(Term term);
-  void Promote(const EndpointId& endpoint);
-  void ConfirmAndCall();
-  void CallPromote(Time send_before);
-  void OnPromoteOutcome(PromoteOutcome outcome);
-  void Poll();
-  void UsePrimary(Term term, bool former_follows);
-  void AdoptChosen();
+  void Perform(const ReplacementActions& actions);
+  void Perform(const ReplacementAction& action);
+  void AskStatus();
+  void Demote(const EndpointId& endpoint, Term term);
+  void EndLeases();
+  void Pause(const EndpointId& except, Term term);
+  void SendOrder(const PromotionOrder& order);
+  void CallPromote(const PromotionOrder& order, Time send_before);
+  void Poll(const EndpointId& endpoint);
+  void Tell(const EndpointId& endpoint, CommandKind kind, Term term);
+  void Wait(Duration delay);
+  void ForgetOrders();
+  void Finish();
   /// Runs `next` after kBusyRetryDelay, unless this was stopped.
   void RetryLater(std::function<void()> next);
-  void After(Duration pause, void (PrimaryReplacement::*next)());
-  void Finish();
-  void FinishUnlessSuspected();
   const EndpointRecord* Find(const std::vector<EndpointRecord>& members,
                              const EndpointId& id) const;
 
   PrimaryReplacementParams params_;
+  Replacement run_;
   boost::asio::steady_timer timer_;
   std::map<EndpointId, std::shared_ptr<CommandConnection>> connections_;
-  Time started_;
   bool stopped_ = false;
-  bool suspected_again_ = false;  ///< a report came during the last query
-  std::optional<PromoteRequest> request_;
-  EndpointRecord chosen_;
-  Time called_;
-  FormerPrimary former_;
-  MemberStatus former_status_;  ///< its answer as a replica
-  bool demote_tried_ = false;
-  Time demoted_at_;  ///< when it was first seen as a replica
-  Term chosen_term_;
+  PromotionOrders recorded_orders_;  ///< in the quorum's log
 };
 
 }  // namespace cardamomchute
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -92,7 +92,9 @@
   QuorumHooks hooks;
   hooks.apply = [this](const LogEntry& entry) { Apply(entry); };
   hooks.restore = [this](const std::string& bytes) { Restore(bytes); };
-  hooks.pack = [this] { return Pack(layout_); };
+  hooks.pack = [this] {
+    return Pack(ReplicatedState{layout_.version, layout_.text, orders_});
+  };
   hooks.on_leadership_change = [this](bool is_leader) {
     OnLeadershipChange(is_leader);
   };
--- a/fleet/src/fleet_controller_layouts.cc
+++ b/fleet/src/fleet_controller_layouts.cc
@@ -20,21 +20,19 @@
 }  // namespace
 
 void FleetController::Apply(const LogEntry& entry) {
-  bool newer = false;
+  applied_term_ = entry.term;
   if (entry.kind == EntryKind::kCommand) {
-    Result<StoredLayout> stored = Unpack<StoredLayout>(entry.command);
-    if (!stored) return host_->Fail(stored.error());
-    newer = stored.value().version > layout_.version;
-    if (newer) layout_ = std::move(stored.value());
-  }
-  if (newer) {
-    parsed_.reset();
-    LogLine(LogLevel::kInfo, "layout_applied")
-        .Field("version", layout_.version)
-        .Field("index", entry.index)
-        .Field("bytes", layout_.text.size());
-    layout_due_ = true;
-    layout_since_ = Now();
+    Result<ReplicatedState> state = Unpack<ReplicatedState>(entry.command);
+    if (!state) return host_->Fail(state.error());
+    for (auto& [group, orders] : state.value().orders)
+      orders_[group] = std::move(orders);
+    if (state.value().version > layout_.version) {
+      LogLine(LogLevel::kInfo, "layout_applied")
+          .Field("version", state.value().version)
+          .Field("index", entry.index)
+          .Field("bytes", state.value().text.size());
+      TakeLayout(std::move(state.value()));
+    }
   }
   auto pending = pending_.find(entry.index);
   if (pending == pending_.end()) return;
@@ -48,12 +46,17 @@
 
 void FleetController::Restore(const std::string& bytes) {
   if (bytes.empty()) return;
-  Result<StoredLayout> stored = Unpack<StoredLayout>(bytes);
-  if (!stored) return host_->Fail(stored.error());
-  if (stored.value().version <= layout_.version) return;
-  layout_ = std::move(stored.value());
+  Result<ReplicatedState> state = Unpack<ReplicatedState>(bytes);
+  if (!state) return host_->Fail(state.error());
+  orders_ = std::move(state.value().orders);
+  if (state.value().version > layout_.version)
+    TakeLayout(std::move(state.value()));
+}
+
+void FleetController::TakeLayout(ReplicatedState state) {
+  layout_ = StoredLayout{state.version, std::move(state.text)};
   parsed_.reset();
-  layout_due_ = layout_.version > 0;
+  layout_due_ = true;
   layout_since_ = Now();
 }
 
@@ -102,7 +105,7 @@
     return;
   }
   std::optional<LogIndex> index =
-      host_->ProposeBytes(Pack(StoredLayout{version, std::move(text)}));
+      host_->ProposeBytes(Pack(ReplicatedState{version, std::move(text), {}}));
   if (!index) return done(Elsewhere());
   pending_[*index] = PendingPut{host_->quorum().vote.term, std::move(done)};
 }
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -1,5 +1,7 @@
 /// Monitoring and replacement of primaries by the leading control member.
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <set>
 
 #include "cardamomchute/base/log.h"
@@ -86,8 +88,10 @@
   if (contradicted)
     return StartSuccession(group, PrimaryReplacementCause::kReview);
   // A lease is granted only on a primary that this leader has confirmed.
-  bool unconfirmed = !params_.fencing && !confirmed_.contains(group);
-  if (unconfirmed) StartSuccession(group, PrimaryReplacementCause::kConfirm);
+  if (!OrdersOf(group).empty())
+    return StartSuccession(group, PrimaryReplacementCause::kReview);
+  if (!confirmed_.contains(group))
+    StartSuccession(group, PrimaryReplacementCause::kConfirm);
 }
 
 std::optional<GrantableLeases> FleetController::Grantable() const {
@@ -105,15 +109,22 @@
   return leases;
 }
 
-Time FleetController::LeasesEndOf(const GroupId& group) const {
-  return params_.fencing ? Time() : leases_.EndOf(group);
+bool FleetController::KnowsOrders() const {
+  return applied_term_ == host_->quorum().vote.term;
+}
+
+const PromotionOrders& FleetController::OrdersOf(const GroupId& group) const {
+  static const PromotionOrders kNone;
+  auto orders = orders_.find(group);
+  return orders == orders_.end() ? kNone : orders->second;
 }
 
-/// Runs `run` once a quorum has confirmed the leadership in a round that starts
-/// now or later, with the time until which no other leader sends requests.
-void FleetController::ConfirmAndRun(std::function<void(Time)> run) {
+void FleetController::RecordOrders(const GroupId& group,
+                                   const PromotionOrders& orders,
+                                   std::function<void(Time)> done) {
   Time asked = Now();
-  rounds_.Add({[asked, run = std::move(run)] { run(LeaseEnd(asked)); }, [] {}});
+  rounds_.Add(
+      {[asked, done = std::move(done)] { done(LeaseEnd(asked)); }, [] {}});
 }
 
 void FleetController::OnTrouble(const TroubleReport& report) {
@@ -180,34 +191,39 @@
   Flush();
 }
 
-void FleetController::StartSuccession(const GroupId& group,
-                                      PrimaryReplacementCause cause,
-                                      Duration lag_bound) {
+PrimaryReplacementParams FleetController::ReplacementParams(
+    const GroupId& group, PrimaryReplacementCause cause, Duration lag_bound) {
   PrimaryReplacementParams params;
   params.executor = params_.io->get_executor();
   params.protocol = &params_.endpoint_protocol;
   params.group = group;
+  params.holder = params_.name;
   auto primary = directory_.primaries.find(group);
   if (primary != directory_.primaries.end())
-    params.primary = primary->second.endpoint;
-  params.cause = cause;
-  params.lag_bound = lag_bound;
-  params.holder = params_.name;
-  params.members = [this, group] { return CountedMembers(group); };
-  params.next_token = [this] {
+    params.run.recorded = primary->second.endpoint;
+  params.run.cause = cause;
+  params.run.lag_bound = lag_bound;
+  params.run.confirmed = confirmed_.contains(group);
+  if (!params_.fencing) params.run.first_order_at = leases_.InheritedEnd();
+  params.run.next_token = [this] {
     return host_->quorum().vote.term.value() * kTokensPerTerm + ++tokens_;
   };
-  params.is_confirmed = [this, group] { return confirmed_.contains(group); };
-  params.leases_end = [this, group] { return LeasesEndOf(group); };
-  params.first_request_at = [this] {
-    return params_.fencing ? Time() : leases_.InheritedEnd();
+  params.members = [this, group] { return CountedMembers(group); };
+  params.end_leases = [this, group](std::function<void()> done) {
+    std::shared_ptr<boost::asio::steady_timer> timer =
+        std::make_shared<boost::asio::steady_timer>(*params_.io);
+    timer->expires_after(std::chrono::milliseconds(
+        std::max(leases_.EndOf(group) - Now(), Duration()).ms()));
+    timer->async_wait(
+        [timer, done = std::move(done)](boost::system::error_code) { done(); });
   };
-  params.confirm_leadership = [this](std::function<void(Time)> run) {
-    ConfirmAndRun(std::move(run));
+  params.record_orders = [this, group](const PromotionOrders& orders,
+                                       std::function<void(Time)> done) {
+    RecordOrders(group, orders, std::move(done));
   };
-  params.on_request = [this, group] { confirmed_.erase(group); };
-  params.on_confirmed = [this, group] { confirmed_.insert(group); };
   params.promote = params_.promote;
+  params.on_unconfirmed = [this, group] { confirmed_.erase(group); };
+  params.on_confirmed = [this, group] { confirmed_.insert(group); };
   params.adopt = [this, group](const EndpointId& endpoint, Term term) {
     SetPrimary(group, endpoint, term);
   };
@@ -217,8 +233,16 @@
         Now() + (review ? kContradictionInterval : kReviewInterval);
     successions_.erase(group);
   };
+  return params;
+}
+
+void FleetController::StartSuccession(const GroupId& group,
+                                      PrimaryReplacementCause cause,
+                                      Duration lag_bound) {
+  if (!KnowsOrders()) return;
   std::shared_ptr<PrimaryReplacement> run =
-      std::make_shared<PrimaryReplacement>(std::move(params));
+      std::make_shared<PrimaryReplacement>(
+          ReplacementParams(group, cause, lag_bound));
   successions_[group] = run;
   run->Start();
 }
--- a/fleet/src/primary_replacement_commands.cc
+++ b/fleet/src/primary_replacement_commands.cc
@@ -11,7 +11,8 @@
 
 namespace asio = boost::asio;
 
-void PrimaryReplacement::AskAll(CommandKind kind, Term term, bool lead_too,
+void PrimaryReplacement::AskAll(CommandKind kind, Term term,
+                                const EndpointId& except,
                                 std::function<void(Answers)> done) {
   struct PendingAnswers {
     Answers answers;
@@ -22,14 +23,14 @@
   pending->done = std::move(done);
   std::vector<EndpointRecord> asked;
   for (const EndpointRecord& member : params_.members()) {
-    if (lead_too || member.id != params_.primary) asked.push_back(member);
+    if (member.id != except) asked.push_back(member);
   }
   pending->missing = asked.size();
   if (asked.empty()) return pending->done({});
   std::shared_ptr<PrimaryReplacement> self = shared_from_this();
   for (const EndpointRecord& member : asked) {
     Duration timeout =
-        member.id == params_.primary ? kAskPrimaryTimeout : kAskTimeout;
+        member.id == run_.former.endpoint ? kAskPrimaryTimeout : kAskTimeout;
     Ask(member, {.kind = kind, .term = term}, Now() + timeout,
         [self, pending](MemberStatus answer) {
           pending->answers.push_back(std::move(answer));
@@ -39,6 +40,22 @@
   }
 }
 
+void PrimaryReplacement::AskOne(const EndpointId& endpoint,
+                                const EndpointCommand& command,
+                                Duration timeout,
+                                std::function<void(MemberStatus)> done) {
+  std::vector<EndpointRecord> members = params_.members();
+  const EndpointRecord* record = Find(members, endpoint);
+  if (record != nullptr)
+    return Ask(*record, command, Now() + timeout, std::move(done));
+  LogLine(LogLevel::kInfo, "succession_unreachable")
+      .Field("endpoint", endpoint)
+      .Field("outcome", "no member");
+  MemberStatus none;
+  none.endpoint.id = endpoint;
+  done(none);
+}
+
 void PrimaryReplacement::Ask(const EndpointRecord& endpoint,
                              const EndpointCommand& command, Time until,
                              std::function<void(MemberStatus)> done) {
--- a/fleet/test/promotion_orders-test.cc
+++ b/fleet/test/promotion_orders-test.cc
@@ -60,6 +60,16 @@
   return s->group.member(i);
 }
 
+/// Announces to the control leader that `joined` is there and `gone` is not.
+void Exchange(Succession* s, const EndpointRecord& joined,
+              const std::string& gone) {
+  BOOST_REQUIRE(s->cluster.RunUntil([&] {
+    std::optional<size_t> leader = s->cluster.Leader();
+    return leader && s->cluster.At(*leader)->Announce(joined) &&
+           s->cluster.At(*leader)->Leave(EndpointId(gone));
+  }));
+}
+
 /// Commits at the group's primary as a caller of a relay would. Returns whether
 /// the relay passes on an acknowledgement.
 bool CommitUnderLease(Succession* s, const std::string& data) {
@@ -91,9 +101,7 @@
   // The former primary's log at a new id.
   s.group.member(3).is_primary = true;
   s.group.member(3).cut_off = false;
-  size_t leader = *s.cluster.Leader();
-  BOOST_REQUIRE(s.cluster.At(leader)->Announce(s.group.Record(3, "a", 1)));
-  BOOST_REQUIRE(s.cluster.At(leader)->Leave(EndpointId("g1-0")));
+  Exchange(&s, s.group.Record(3, "a", 1), "g1-0");
   platform.unanswered = 0;
   bool acknowledged = false;
   s.cluster.RunUntil(
@@ -124,12 +132,8 @@
       s.group.Record(second == EndpointId("g1-1") ? 1 : 2, "a", 50);
   leaving.leaving = true;
   size_t sent = s.cluster.orders.size();
-  size_t leader = *s.cluster.Leader();
   // The dead one has left for good, so that nobody waits for it.
-  s.cluster.RunUntil([&] {
-    return s.cluster.At(leader)->Leave(EndpointId("g1-0")) &&
-           s.cluster.At(leader)->Announce(leaving);
-  });
+  Exchange(&s, leaving, "g1-0");
   BOOST_REQUIRE(
       s.cluster.RunUntil([&] { return s.cluster.orders.size() > sent; }));
   platform.CarryOutLate();
--- a/policy/include/cardamomchute/policy/primary_replacement.h
+++ b/policy/include/cardamomchute/policy/primary_replacement.h
@@ -55,9 +55,9 @@
   PrimaryReplacementCause cause = PrimaryReplacementCause::kReview;
   /// kLagging: a replica with a higher lag can serve almost no reads.
   Duration lag_bound;
-  /// A request to promote was sent, and may still take effect.
-  bool request_sent = false;
-  /// The leader confirmed the primary earlier and has sent no request since, so
+  /// An order that would replace the primary found may still take effect.
+  bool order_outstanding = false;
+  /// The leader confirmed the primary earlier and has sent no order since, so
   /// that replicas which are paused may be resumed.
   bool confirmed = false;
 };
--- a/policy/src/primary_replacement.cc
+++ b/policy/src/primary_replacement.cc
@@ -84,6 +84,7 @@
   }
   const MemberStatus* best = nullptr;
   const MemberStatus* demoted = nullptr;
+  bool all_answered = true;
   bool all_paused = true;
   for (const MemberStatus& answer : all) {
     if (answer.endpoint.id == former.endpoint) {
@@ -92,8 +93,8 @@
       continue;
     }
     if (!answer.answered) {
-      verdict.step = ReplacementStep::kWait;
-      return verdict;
+      all_answered = false;
+      continue;
     }
     if (answer.paused_below <= newest) all_paused = false;
     auto rank = [](const MemberStatus& a) {
@@ -101,13 +102,18 @@
     };
     if (best == nullptr || rank(answer) > rank(*best)) best = &answer;
   }
-  bool incomplete =
-      former.log_end && (best == nullptr || best->received < *former.log_end);
-  if (incomplete && former.wait_for_log_end) {
+  bool complete =
+      former.log_end && best != nullptr && best->received >= *former.log_end;
+  bool incomplete = former.log_end && !complete;
+  bool may_return = demoted != nullptr && !demoted->endpoint.leaving;
+  // Without the whole log, one that does not answer may have the most.
+  bool has_all = complete || (incomplete && may_return);
+  bool must_wait =
+      (incomplete && former.wait_for_log_end) || (!has_all && !all_answered);
+  if (must_wait) {
     verdict.step = ReplacementStep::kWait;
     return verdict;
   }
-  bool may_return = demoted != nullptr && !demoted->endpoint.leaving;
   if (incomplete && may_return) best = demoted;
   if (best == nullptr) {
     verdict.step = ReplacementStep::kWait;
@@ -147,12 +153,12 @@
   std::optional<MemberStatus> leader = FindHighestTermPrimary(all);
   bool current = leader && leader->term >= HighestTerm(all);
   if (!current) return false;
-  if (leader->endpoint.id != check.primary) return true;
-  // A request to promote may still take effect, and then without the commits
-  // that resumed replicas have acknowledged.
+  // An order may still take effect, and then without the commits that resumed
+  // replicas have acknowledged.
   bool may_be_replaced =
-      check.request_sent || (AnyPaused(all) && !check.confirmed);
+      check.order_outstanding || (AnyPaused(all) && !check.confirmed);
   if (may_be_replaced) return false;
+  if (leader->endpoint.id != check.primary) return true;
   switch (check.cause) {
     case PrimaryReplacementCause::kStalled:
     case PrimaryReplacementCause::kLeaving:
--- a/policy/test/primary_replacement-test.cc
+++ b/policy/test/primary_replacement-test.cc
@@ -174,10 +174,13 @@
   BOOST_TEST(!ShouldKeepPrimary(all, check));
   check.confirmed = true;
   BOOST_TEST(ShouldKeepPrimary(all, check));
-  check.request_sent = true;
+  check.order_outstanding = true;
   BOOST_TEST(!ShouldKeepPrimary(all, check));
-  // Another endpoint has become primary meanwhile.
+  // Another endpoint has become primary meanwhile, perhaps by an order before
+  // the one that is outstanding.
   all[1] = Member("a", true, 2, 9, 0);
+  BOOST_TEST(!ShouldKeepPrimary(all, check));
+  check.order_outstanding = false;
   BOOST_TEST(ShouldKeepPrimary(all, check));
 }
 
