Record each order to promote, and give each sending its own token

What was known of an order lived 6 s and as long as one control leader, and a repeat had the token of the first, so that carrying out one did not void the other.

Every sending has a token of its own now, and is recorded in the quorum's log before it is sent; the next run and the next leader know of it. A commit of the log replaces the round that confirmed the leadership.

The new case a_new_control_leader_knows_of_an_outstanding_order fails without the record. The test that a repeat has the token of the first named the fault; it asks for a higher one now.

--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -123,8 +123,18 @@
                                    const PromotionOrders& orders,
                                    std::function<void(Time)> done) {
   Time asked = Now();
-  rounds_.Add(
-      {[asked, done = std::move(done)] { done(LeaseEnd(asked)); }, [] {}});
+  std::optional<LogIndex> index =
+      host_->ProposeBytes(Pack(ReplicatedState{0, "", {{group, orders}}}));
+  if (!index) {
+    LogLine(LogLevel::kInfo, "orders_not_recorded").Field("group", group);
+    return;
+  }
+  pending_[*index] =
+      PendingPut{host_->quorum().vote.term,
+                 [asked, done = std::move(done)](const LayoutResult& recorded) {
+                   if (recorded.outcome == CallOutcome::kDone)
+                     done(LeaseEnd(asked));
+                 }};
 }
 
 void FleetController::OnTrouble(const TroubleReport& report) {
@@ -204,6 +214,7 @@
   params.run.cause = cause;
   params.run.lag_bound = lag_bound;
   params.run.confirmed = confirmed_.contains(group);
+  params.run.orders = OrdersOf(group);
   if (!params_.fencing) params.run.first_order_at = leases_.InheritedEnd();
   params.run.next_token = [this] {
     return host_->quorum().vote.term.value() * kTokensPerTerm + ++tokens_;
--- a/fleet/test/primary_replacement-test.cc
+++ b/fleet/test/primary_replacement-test.cc
@@ -49,7 +49,8 @@
   BOOST_TEST(s.cluster.RunUntil([&] { return !s.cluster.orders.empty(); }));
 }
 
-BOOST_AUTO_TEST_CASE(an_unanswered_order_is_sent_again_with_its_token) {
+BOOST_AUTO_TEST_CASE(
+    an_unanswered_order_is_followed_by_one_with_a_higher_token) {
   Succession s;
   s.group.Kill(0);
   s.lose_orders = 1;
@@ -57,8 +58,7 @@
   s.Complain(EndpointProblem::kRefused);
   BOOST_TEST(s.cluster.RunUntil([&] { return s.cluster.orders.size() >= 2; }));
   BOOST_TEST((s.cluster.orders[0].endpoint == s.cluster.orders[1].endpoint));
-  BOOST_TEST(s.cluster.orders[0].fence_token ==
-             s.cluster.orders[1].fence_token);
+  BOOST_TEST(s.cluster.orders[0].fence_token < s.cluster.orders[1].fence_token);
 }
 
 BOOST_AUTO_TEST_CASE(a_lead_whose_replicas_all_lag_hands_over) {
--- a/fleet/test/promotion_orders-test.cc
+++ b/fleet/test/promotion_orders-test.cc
@@ -8,7 +8,7 @@
 namespace cardamomchute {
 namespace {
 
-BOOST_AUTO_TEST_SUITE(promotion_orders, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_SUITE(promotion_orders)
 
 /// A platform that leaves some orders unanswered and carries them out late, if
 /// their fence token is not lower than one that it has seen.
@@ -168,6 +168,37 @@
   BOOST_TEST(s.group.CountOf("late") == (acknowledged ? 1u : 0u));
 }
 
+/// The replicas' pauses, by which a leader could tell, are gone.
+BOOST_AUTO_TEST_CASE(a_new_control_leader_knows_of_an_outstanding_order) {
+  Succession s(4);
+  LatePlatform platform(&s);
+  platform.unanswered = 1'000;
+  s.group.member(3).cut_off = true;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.group.Kill(0);
+  s.group.member(0).is_primary = false;
+  s.Complain(EndpointProblem::kRefused);
+  BOOST_REQUIRE(
+      s.cluster.RunUntil([&] { return s.cluster.orders.size() == 1; }));
+  s.cluster.Stop(*s.cluster.Leader());
+  MemberOf(&s, s.cluster.orders[0].endpoint).cut_off = true;
+  for (size_t i = 1; i < 3; ++i) s.group.member(i).paused_below = 0;
+  s.group.member(3).is_primary = true;
+  s.group.member(3).cut_off = false;
+  Exchange(&s, s.group.Record(3, "a", 1), "g1-0");
+  platform.unanswered = 0;
+  bool acknowledged = false;
+  s.cluster.RunUntil(
+      [&] {
+        acknowledged = acknowledged || CommitUnderLease(&s, "kept");
+        return acknowledged;
+      },
+      Seconds(8));
+  platform.CarryOutLate();
+  BOOST_TEST(acknowledged);
+  BOOST_TEST(s.group.CountOf("kept") >= 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/policy/src/replacement_steps.cc
+++ b/policy/src/replacement_steps.cc
@@ -113,9 +113,7 @@
   run->chosen = endpoint;
   run->order_sent = now;
   run->awaits_effect = true;
-  bool same = !run->orders.empty() && run->orders.back().endpoint == endpoint;
-  uint64_t token = same ? run->orders.back().fence_token : run->next_token();
-  run->orders.push_back({endpoint, token, newest});
+  run->orders.push_back({endpoint, run->next_token(), newest});
   ReplacementActions actions = {
       {.kind = Kind::kSendOrder, .endpoint = endpoint}};
   Append(&actions, Wait(run, kPollInterval, Replacement::After::kPoll));
