--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -134,7 +134,10 @@
   void OnLagging(const TroubleReport& report);
   void OnLeaseRequest(const LinkPtr& link, const PrimaryLeaseRequest& request);
   void OnGrantableRequest(const GrantableRequest& request);
-  void SendToLeader(const FleetMessage& message);
+  void OnLinkLost(const LinkPtr& link);
+  PrimaryLeaseServerParams LeaseParams();
+  /// Returns whether a leader is known and connected.
+  bool SendToLeader(const FleetMessage& message);
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
   bool NamesGroup(const GroupId& group);
--- a/fleet/include/cardamomchute/fleet/messages.h
+++ b/fleet/include/cardamomchute/fleet/messages.h
@@ -75,7 +75,9 @@
 struct PrimaryLeaseRequest {
   uint64_t number = 0;
   std::vector<GroupId> groups;
-  MSGPACK_DEFINE(number, groups)
+  /// Gives leases back on a LeaseRevocation; older releases do not know it.
+  bool takes_revocations = false;
+  MSGPACK_DEFINE(number, groups, takes_revocations)
 };
 
 /// Answers a PrimaryLeaseRequest: leases on `primaries`, for `valid` from when
@@ -84,14 +86,18 @@
   uint64_t number = 0;
   Duration valid;
   std::map<GroupId, EndpointId> primaries;
-  MSGPACK_DEFINE(number, valid, primaries)
+  /// Terms of `primaries`; empty from older releases.
+  std::map<GroupId, Term> terms;
+  MSGPACK_DEFINE(number, valid, primaries, terms)
 };
 
 /// A control member requests the leases that it may grant from the leader.
 struct GrantableRequest {
   VmId from;
   uint64_t number = 0;
-  MSGPACK_DEFINE(from, number)
+  /// As in PrimaryLeaseRequest.
+  bool takes_revocations = false;
+  MSGPACK_DEFINE(from, number, takes_revocations)
 };
 
 /// Answers a GrantableRequest as PrimaryLeaseGrant does, for all groups.
@@ -100,6 +106,23 @@
   MSGPACK_DEFINE(grant)
 };
 
+/// Takes back the leases on the group's primary: from the leader to a control
+/// member, and from that to its relays. The receiver confirms it once neither
+/// it nor anybody it granted leases to can use them.
+struct LeaseRevocation {
+  GroupId group;
+  uint64_t number = 0;
+  MSGPACK_DEFINE(group, number)
+};
+
+/// Confirms a LeaseRevocation.
+struct LeaseRevoked {
+  GroupId group;
+  uint64_t number = 0;
+  VmId from;
+  MSGPACK_DEFINE(group, number, from)
+};
+
 /// A packed FleetMessage of another kind, compressed.
 struct CompressedMessage {
   std::string bytes;
@@ -109,7 +132,8 @@
 using FleetMessage =
     std::variant<RelayReport, TroubleReport, DirectoryPush, Farewell,
                  PrimaryLeaseRequest, PrimaryLeaseGrant, GrantableRequest,
-                 GrantableAnswer, CompressedMessage>;
+                 GrantableAnswer, CompressedMessage, LeaseRevocation,
+                 LeaseRevoked>;
 
 std::string PackFleetMessage(const FleetMessage& message);
 
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -44,13 +44,35 @@
 FleetController::FleetController(FleetControllerParams params)
     : params_(std::move(params)),
       rounds_([this] { return host_->BeginRound(); }),
-      leases_({MemberVm(params_.listen), [this] { return Grantable(); },
-               [this](const GrantableRequest& request) {
-                 SendToLeader(request);
-               }}) {}
+      leases_(LeaseParams()) {}
 
 FleetController::~FleetController() { Stop(); }
 
+PrimaryLeaseServerParams FleetController::LeaseParams() {
+  PrimaryLeaseServerParams params;
+  params.self = MemberVm(params_.listen);
+  params.grantable = [this] { return Grantable(); };
+  params.send_to_leader = [this](const FleetMessage& message) {
+    return SendToLeader(message);
+  };
+  params.send_to_member = [this](const VmId& vm, const FleetMessage& message) {
+    host_->SendTo(vm, FrameType::kControl, PackFleetMessage(message));
+  };
+  params.term = [this] { return host_->quorum().vote.term; };
+  // The leadership hook runs a while after the role has changed.
+  params.leads = [this] {
+    return host_->leading() || host_->quorum().role == QuorumRole::kLeader;
+  };
+  params.members = [this] {
+    std::vector<VmId> others;
+    for (const auto& [id, member] : host_->quorum().config.members) {
+      if (id != host_->quorum().self) others.push_back(member.vm);
+    }
+    return others;
+  };
+  return params;
+}
+
 Status FleetController::Start() {
   QuorumHostSettings settings;
   settings.vm = MemberVm(params_.listen);
@@ -103,10 +125,7 @@
                           std::string_view body) {
     if (type == FrameType::kControl) OnFrame(link, body);
   };
-  hooks.on_link_lost = [this](const LinkPtr& link) {
-    relays_.erase(link.get());
-    waiting_.erase(link.get());
-  };
+  hooks.on_link_lost = [this](const LinkPtr& link) { OnLinkLost(link); };
   hooks.on_member_link = [this](const VmId& vm) {
     DirectoryPush push;
     push.delta = FullDelta(directory_);
@@ -137,8 +156,7 @@
     LogLine(LogLevel::kWarn, "fleet_message_refused")
         .Field("from", link->remote())
         .Field("error", ToString(read.error()));
-    relays_.erase(link.get());
-    waiting_.erase(link.get());
+    OnLinkLost(link);
     return host_->Drop(link);
   }
   const FleetMessage& message = read.value();
@@ -152,18 +170,29 @@
     return OnGrantableRequest(*request);
   if (const auto* answer = std::get_if<GrantableAnswer>(&message))
     return leases_.OnGrantableAnswer(*answer);
+  if (const auto* revocation = std::get_if<LeaseRevocation>(&message))
+    return leases_.OnRevocation(*revocation);
+  if (const auto* revoked = std::get_if<LeaseRevoked>(&message))
+    return leases_.OnRevoked(link.get(), *revoked);
   if (const auto* push = std::get_if<DirectoryPush>(&message))
     return TakeDelta(push->delta, true);
 }
 
-void FleetController::SendToLeader(const FleetMessage& message) {
+void FleetController::OnLinkLost(const LinkPtr& link) {
+  relays_.erase(link.get());
+  waiting_.erase(link.get());
+  leases_.OnLinkLost(link.get());
+}
+
+bool FleetController::SendToLeader(const FleetMessage& message) {
   const QuorumState& quorum = host_->quorum();
   auto leader = quorum.config.members.find(quorum.leader);
   bool known =
       leader != quorum.config.members.end() && quorum.leader != quorum.self;
-  if (!known) return;
+  if (!known || !host_->Connected(leader->second.vm)) return false;
   host_->SendTo(leader->second.vm, FrameType::kControl,
                 PackFleetMessage(message));
+  return true;
 }
 
 /// Merges `delta` into the directory and queues the changes for the connected
@@ -211,6 +240,7 @@
   out_of_touch_ = !has_leader_contact;
   AdmitUnnamed(now);
   ExpireRecords(now);
+  leases_.OnTick(now);
   if (host_->leading()) {
     rounds_.StartIfDue();
     ReviewPrimaries(now);
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -100,7 +100,10 @@
     auto primary = directory_.primaries.find(group);
     bool certain =
         primary != directory_.primaries.end() && !successions_.contains(group);
-    if (certain) leases.primaries[group] = primary->second.endpoint;
+    if (certain) {
+      leases.primaries[group] =
+          LeasedPrimary{primary->second.endpoint, primary->second.term};
+    }
   }
   return leases;
 }
@@ -113,11 +116,15 @@
 /// now or later, with the time until which no other leader sends requests.
 void FleetController::ConfirmAndRun(std::function<void(Time)> run) {
   Time asked = Now();
-  rounds_.Add({[asked, run = std::move(run)] { run(LeaseEnd(asked)); }, [] {}});
+  rounds_.Add(
+      {[asked, run = std::move(run)] { run(OrderWindowEnd(asked)); }, [] {}});
 }
 
 void FleetController::OnTrouble(const TroubleReport& report) {
-  if (!host_->leading()) return SendToLeader(report);
+  if (!host_->leading()) {
+    SendToLeader(report);
+    return;
+  }
   if (report.trouble == EndpointProblem::kLagging) return OnLagging(report);
   const EndpointRecord* primary = CurrentPrimary(directory_, report.group);
   bool of_primary = primary != nullptr && primary->id == report.endpoint;
@@ -200,7 +207,7 @@
   params.is_confirmed = [this, group] { return confirmed_.contains(group); };
   params.leases_end = [this, group] { return LeasesEndOf(group); };
   params.first_request_at = [this] {
-    return params_.fencing ? Time() : leases_.InheritedEnd();
+    return params_.fencing ? Time() : leases_.FirstOrderAt();
   };
   params.confirm_leadership = [this](std::function<void(Time)> run) {
     ConfirmAndRun(std::move(run));
--- a/fleet/src/fleet_controller_relays.cc
+++ b/fleet/src/fleet_controller_relays.cc
@@ -28,13 +28,20 @@
 void FleetController::OnLeaseRequest(const LinkPtr& link,
                                      const PrimaryLeaseRequest& request) {
   std::weak_ptr<Link> weak = link;
-  leases_.OnRequest(request, [weak](const PrimaryLeaseGrant& grant) {
+  leases_.OnRequest(link.get(), request, [weak](const FleetMessage& message) {
     LinkPtr to = weak.lock();
-    if (to) to->Send(FrameType::kControl, PackFleetMessage(grant));
+    if (to) to->Send(FrameType::kControl, PackFleetMessage(message));
   });
 }
 
 void FleetController::OnGrantableRequest(const GrantableRequest& request) {
+  // A later leader revokes leases at the members that it knows: this one must
+  // be part of a configuration that no later leader can miss.
+  const QuorumState& quorum = host_->quorum();
+  bool known = std::any_of(
+      quorum.config.members.begin(), quorum.config.members.end(),
+      [&request](const auto& item) { return item.second.vm == request.from; });
+  if (!known || quorum.config_index > quorum.commit) return;
   std::optional<GrantableAnswer> answer = leases_.OnGrantableRequest(request);
   if (!answer) return;
   host_->SendTo(request.from, FrameType::kControl, PackFleetMessage(*answer));
--- a/fleet/test/messages-test.cc
+++ b/fleet/test/messages-test.cc
@@ -5,6 +5,14 @@
 namespace cardamomchute {
 namespace {
 
+/// A PrimaryLeaseGrant of an older release.
+struct OldGrant {
+  uint64_t number = 0;
+  Duration valid;
+  std::map<GroupId, EndpointId> primaries;
+  MSGPACK_DEFINE(number, valid, primaries)
+};
+
 BOOST_AUTO_TEST_SUITE(messages)
 
 BOOST_AUTO_TEST_CASE(long_messages_to_relays_are_compressed) {
@@ -43,6 +51,38 @@
   BOOST_TEST(!report.value().takes_changes);
 }
 
+/// Messages of older releases lack the fields that revocations need.
+BOOST_AUTO_TEST_CASE(leases_of_older_releases_are_understood) {
+  Result<PrimaryLeaseRequest> request = Unpack<PrimaryLeaseRequest>(
+      Pack(std::tuple<uint64_t, std::vector<GroupId>>(7, {GroupId("g")})));
+  BOOST_REQUIRE(request);
+  BOOST_TEST(request.value().number == 7u);
+  BOOST_TEST(!request.value().takes_revocations);
+  Result<GrantableRequest> grantable =
+      Unpack<GrantableRequest>(Pack(std::tuple<VmId, uint64_t>(VmId("m"), 8)));
+  BOOST_REQUIRE(grantable);
+  BOOST_TEST(!grantable.value().takes_revocations);
+  std::map<GroupId, EndpointId> primaries = {{GroupId("g"), EndpointId("e")}};
+  Result<PrimaryLeaseGrant> grant = Unpack<PrimaryLeaseGrant>(
+      Pack(std::tuple<uint64_t, Duration, std::map<GroupId, EndpointId>>(
+          9, Millis(500), primaries)));
+  BOOST_REQUIRE(grant);
+  BOOST_TEST((grant.value().primaries == primaries));
+  BOOST_TEST(grant.value().terms.empty());
+}
+
+/// An older release reads the first fields only.
+BOOST_AUTO_TEST_CASE(an_older_release_understands_a_lease_with_terms) {
+  PrimaryLeaseGrant grant;
+  grant.number = 9;
+  grant.primaries[GroupId("g")] = EndpointId("e");
+  grant.terms[GroupId("g")] = Term(3);
+  Result<OldGrant> old = Unpack<OldGrant>(Pack(grant));
+  BOOST_REQUIRE(old);
+  BOOST_TEST(old.value().number == 9u);
+  BOOST_TEST((old.value().primaries == grant.primaries));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
