--- a/fleet/include/cardamomchute/fleet/control_link.h
+++ b/fleet/include/cardamomchute/fleet/control_link.h
@@ -31,6 +31,10 @@
   std::function<void(const DirectoryPush&)> on_push;
   std::function<void(const PrimaryLeaseGrant&)> on_lease =
       [](const PrimaryLeaseGrant&) {};
+  /// Drops the lease on the group's primary, then calls `confirm` once. Without
+  /// that the lease is waited for.
+  std::function<void(const GroupId&, std::function<void()> confirm)>
+      on_revocation = [](const GroupId&, const std::function<void()>&) {};
   /// Returns the currently configured seeds; called before each connection
   /// attempt.
   std::function<std::vector<Address>()> seeds;
@@ -54,7 +58,7 @@
   void Report(const GroupId& group, const EndpointId& endpoint,
               EndpointProblem trouble);
   /// Requests leases on primaries; dropped while the link is down.
-  void RequestLeases(const PrimaryLeaseRequest& request);
+  void RequestLeases(PrimaryLeaseRequest request);
   void Stop();
 
  private:
@@ -72,6 +76,7 @@
   void StartLink(const LinkPtr& link);
   void OnFrame(const LinkPtr& link, std::string_view body);
   void OnPush(DirectoryPush push);
+  void OnRevocation(const LinkPtr& link, const LeaseRevocation& revocation);
   void OutrunEarlierProcess(const std::vector<RelayRecord>& relays);
   void OnLost(const LinkPtr& link, const std::string& reason);
   void Lose(const std::string& reason);
--- a/fleet/src/control_link.cc
+++ b/fleet/src/control_link.cc
@@ -215,6 +215,8 @@
   if (push != nullptr) return OnPush(std::move(*push));
   if (const auto* grant = std::get_if<PrimaryLeaseGrant>(&message.value()))
     return params_.on_lease(*grant);
+  if (const auto* revoked = std::get_if<LeaseRevocation>(&message.value()))
+    return OnRevocation(link, *revoked);
   if (const auto* farewell = std::get_if<Farewell>(&message.value())) {
     if (!farewell->members.empty()) members_ = farewell->members;
     Lose("the control member lost contact with the quorum");
@@ -257,6 +259,21 @@
   if (taken) layout_ = std::move(*push.layout);
 }
 
+/// Confirms on the same link only: the member at its other end waits for it.
+void ControlLink::OnRevocation(const LinkPtr& link,
+                               const LeaseRevocation& revocation) {
+  std::weak_ptr<ControlLink> weak = weak_from_this();
+  std::weak_ptr<Link> weak_link = link;
+  params_.on_revocation(revocation.group, [weak, weak_link, revocation] {
+    std::shared_ptr<ControlLink> self = weak.lock();
+    LinkPtr from = weak_link.lock();
+    if (!self || !from || from != self->link_) return;
+    from->Send(FrameType::kControl,
+               PackFleetMessage(LeaseRevoked{
+                   revocation.group, revocation.number, self->params_.vm}));
+  });
+}
+
 void ControlLink::OnLost(const LinkPtr& link, const std::string& reason) {
   if (link == preferred_link_) return DropPreferred(reason);
   if (link == link_) Lose(reason);
@@ -282,8 +299,9 @@
                                        group, endpoint, trouble, params_.vm}));
 }
 
-void ControlLink::RequestLeases(const PrimaryLeaseRequest& request) {
+void ControlLink::RequestLeases(PrimaryLeaseRequest request) {
   if (!link_) return;
+  request.takes_revocations = true;
   link_->Send(FrameType::kControl, PackFleetMessage(request));
 }
 
--- a/fleet/test/control_link-test.cc
+++ b/fleet/test/control_link-test.cc
@@ -57,13 +57,23 @@
           if (error) return;
           links.push_back(std::make_shared<Link>(std::move(socket)));
           links.back()->Start(
-              [this](FrameType type, std::string_view) { OnFrame(type); },
+              [this](FrameType type, std::string_view body) {
+                OnFrame(type, body);
+              },
               [this](const std::string&) { ++lost; });
           Accept();
         });
   }
-  void OnFrame(FrameType type) {
+  void OnFrame(FrameType type, std::string_view body) {
     if (type != FrameType::kControl) return;
+    Result<FleetMessage> message = UnpackFleetMessage(body);
+    BOOST_REQUIRE(message);
+    if (const auto* request =
+            std::get_if<PrimaryLeaseRequest>(&message.value()))
+      lease_requests.push_back(*request);
+    if (const auto* back = std::get_if<LeaseRevoked>(&message.value()))
+      revoked.push_back(*back);
+    if (!std::holds_alternative<RelayReport>(message.value())) return;
     ++reports;
     if (silent) return;
     DirectoryPush push;
@@ -77,6 +87,8 @@
   std::vector<std::shared_ptr<Link>> links;
   size_t reports = 0;
   size_t lost = 0;
+  std::vector<PrimaryLeaseRequest> lease_requests;
+  std::vector<LeaseRevoked> revoked;
 };
 
 /// Returns the name of a relay that prefers the first of `members`.
@@ -171,6 +183,80 @@
   link->Stop();
 }
 
+/// A relay at a member that revokes its leases.
+struct RevokedRelay {
+  RevokedRelay() : member(&io, false) {
+    member.members = {member.ListenAddress()};
+    ControlLinkParams params;
+    params.io = &io;
+    params.vm = VmId("relay-a");
+    params.peers = Address{"127.0.0.1", 1};
+    params.on_push = [this](const DirectoryPush&) { ++pushes; };
+    params.on_revocation = [this](const GroupId& group,
+                                  std::function<void()> confirm) {
+      groups.push_back(group);
+      confirms.push_back(std::move(confirm));
+    };
+    Address seed = member.ListenAddress();
+    params.seeds = [seed] { return std::vector<Address>{seed}; };
+    link = std::make_shared<ControlLink>(std::move(params));
+    link->Start();
+    BOOST_REQUIRE(RunUntil([this] { return pushes > 0; }));
+  }
+  ~RevokedRelay() { link->Stop(); }
+
+  bool RunUntil(const std::function<bool()>& done,
+                Duration limit = Seconds(20)) {
+    Time until = Now() + limit;
+    while (!done() && Now() < until)
+      io.run_one_for(std::chrono::milliseconds(10));
+    return done();
+  }
+  bool Revoke(uint64_t number) {
+    member.links.back()->Send(
+        FrameType::kControl,
+        PackFleetMessage(LeaseRevocation{GroupId("g1"), number}));
+    size_t before = confirms.size();
+    return RunUntil([&] { return confirms.size() > before; });
+  }
+
+  boost::asio::io_context io;
+  FakeMember member;
+  std::shared_ptr<ControlLink> link;
+  size_t pushes = 0;
+  std::vector<GroupId> groups;
+  std::vector<std::function<void()>> confirms;
+};
+
+BOOST_AUTO_TEST_CASE(
+    a_relay_confirms_a_revocation_once_it_gave_the_lease_back) {
+  RevokedRelay relay;
+  relay.link->RequestLeases({1, {GroupId("g1")}});
+  BOOST_REQUIRE(
+      relay.RunUntil([&] { return !relay.member.lease_requests.empty(); }));
+  BOOST_TEST(relay.member.lease_requests.front().takes_revocations);
+  BOOST_REQUIRE(relay.Revoke(7));
+  BOOST_TEST((relay.groups.front() == GroupId("g1")));
+  relay.RunUntil([] { return false; }, Millis(100));
+  BOOST_TEST(relay.member.revoked.empty());
+  relay.confirms.front()();
+  BOOST_REQUIRE(relay.RunUntil([&] { return !relay.member.revoked.empty(); }));
+  BOOST_TEST(relay.member.revoked.front().number == 7u);
+  BOOST_TEST((relay.member.revoked.front().group == GroupId("g1")));
+  BOOST_TEST((relay.member.revoked.front().from == VmId("relay-a")));
+}
+
+BOOST_AUTO_TEST_CASE(a_revocation_is_not_confirmed_on_a_later_link) {
+  RevokedRelay relay;
+  BOOST_REQUIRE(relay.Revoke(7));
+  size_t pushes = relay.pushes;
+  relay.member.links.back()->Close();
+  BOOST_REQUIRE(relay.RunUntil([&] { return relay.pushes > pushes; }));
+  relay.confirms.front()();
+  relay.RunUntil([] { return false; }, Millis(200));
+  BOOST_TEST(relay.member.revoked.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/fleet/test/replacement_fixture.h
+++ b/fleet/test/replacement_fixture.h
@@ -38,6 +38,12 @@
       for (const auto& [group, endpoint] : grant.primaries)
         lease = ExtendLease(lease, endpoint, asked[grant.number], grant.valid);
     };
+    params.on_revocation = [this](const GroupId&,
+                                  const std::function<void()>& confirm) {
+      if (!gives_back) return;
+      lease = HeldLease();
+      confirm();
+    };
     Address address = cluster->AddressOf(member);
     params.seeds = [address] { return std::vector<Address>{address}; };
     link = std::make_shared<ControlLink>(std::move(params));
@@ -67,6 +73,7 @@
   size_t changes = 0;  ///< of these, as differences
   std::string layout_text;
   HeldLease lease;
+  bool gives_back = true;          ///< the lease, when it is revoked
   std::map<uint64_t, Time> asked;  ///< send times of lease requests
 };
 
