--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -1,7 +1,5 @@
 /// Monitoring and replacement of primaries by the leading control member.
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
 #include <set>
 
 #include "cardamomchute/base/log.h"
@@ -104,7 +102,10 @@
     auto primary = directory_.primaries.find(group);
     bool certain =
         primary != directory_.primaries.end() && !successions_.contains(group);
-    if (certain) leases.primaries[group] = primary->second.endpoint;
+    if (certain) {
+      leases.primaries[group] =
+          LeasedPrimary{primary->second.endpoint, primary->second.term};
+    }
   }
   return leases;
 }
@@ -133,12 +134,15 @@
       PendingPut{host_->quorum().vote.term,
                  [asked, done = std::move(done)](const LayoutResult& recorded) {
                    if (recorded.outcome == CallOutcome::kDone)
-                     done(LeaseEnd(asked));
+                     done(OrderWindowEnd(asked));
                  }};
 }
 
 void FleetController::OnTrouble(const TroubleReport& report) {
-  if (!host_->leading()) return SendToLeader(report);
+  if (!host_->leading()) {
+    SendToLeader(report);
+    return;
+  }
   if (report.trouble == EndpointProblem::kLagging) return OnLagging(report);
   const EndpointRecord* primary = CurrentPrimary(directory_, report.group);
   bool of_primary = primary != nullptr && primary->id == report.endpoint;
@@ -215,18 +219,13 @@
   params.run.lag_bound = lag_bound;
   params.run.confirmed = confirmed_.contains(group);
   params.run.orders = OrdersOf(group);
-  if (!params_.fencing) params.run.first_order_at = leases_.InheritedEnd();
+  if (!params_.fencing) params.run.first_order_at = leases_.FirstOrderAt();
   params.run.next_token = [this] {
     return host_->quorum().vote.term.value() * kTokensPerTerm + ++tokens_;
   };
   params.members = [this, group] { return CountedMembers(group); };
   params.end_leases = [this, group](std::function<void()> done) {
-    std::shared_ptr<boost::asio::steady_timer> timer =
-        std::make_shared<boost::asio::steady_timer>(*params_.io);
-    timer->expires_after(std::chrono::milliseconds(
-        std::max(leases_.EndOf(group) - Now(), Duration()).ms()));
-    timer->async_wait(
-        [timer, done = std::move(done)](boost::system::error_code) { done(); });
+    leases_.Revoke(group, std::move(done));
   };
   params.record_orders = [this, group](const PromotionOrders& orders,
                                        std::function<void(Time)> done) {
