--- a/policy/include/cardamomchute/policy/primary_lease.h
+++ b/policy/include/cardamomchute/policy/primary_lease.h
@@ -57,12 +57,13 @@
   EndpointId endpoint;
   Time since;  ///< start of an unbroken series of leases
   Time until;
+  Term term;  ///< of the primary; 0 if the grant does not say
 };
 
-/// Returns the lease after an answer that grants `endpoint` for `valid`, to a
-/// request sent at `asked`.
+/// Returns the lease after an answer that grants `endpoint` as primary of
+/// `term` for `valid`, to a request sent at `asked`.
 HeldLease ExtendLease(const HeldLease& held, const EndpointId& endpoint,
-                      Time asked, Duration valid);
+                      Time asked, Duration valid, Term term = Term());
 
 /// Whether the holder could use `endpoint` at some time in [at - slack, at].
 bool LeaseCovers(const HeldLease& lease, const EndpointId& endpoint, Time at,
--- a/policy/src/primary_lease.cc
+++ b/policy/src/primary_lease.cc
@@ -25,11 +25,12 @@
 }
 
 HeldLease ExtendLease(const HeldLease& held, const EndpointId& endpoint,
-                      Time asked, Duration valid) {
+                      Time asked, Duration valid, Term term) {
   Time until = asked + valid;
-  bool unbroken = held.endpoint == endpoint && asked <= held.until;
-  if (!unbroken) return HeldLease{endpoint, asked, until};
-  return HeldLease{endpoint, held.since, std::max(held.until, until)};
+  bool unbroken =
+      held.endpoint == endpoint && held.term == term && asked <= held.until;
+  if (!unbroken) return HeldLease{endpoint, asked, until, term};
+  return HeldLease{endpoint, held.since, std::max(held.until, until), term};
 }
 
 bool LeaseCovers(const HeldLease& lease, const EndpointId& endpoint, Time at,
--- a/policy/test/primary_lease-test.cc
+++ b/policy/test/primary_lease-test.cc
@@ -32,6 +32,16 @@
   BOOST_TEST(!LeaseCovers(lease, kFirst, Time(2200), Duration()));
 }
 
+BOOST_AUTO_TEST_CASE(a_lease_on_another_term_starts_anew) {
+  HeldLease lease =
+      ExtendLease(HeldLease(), kFirst, Time(1000), Millis(500), Term(1));
+  lease = ExtendLease(lease, kFirst, Time(1200), Millis(500), Term(1));
+  BOOST_TEST((lease.since == Time(1000)));
+  lease = ExtendLease(lease, kFirst, Time(1300), Millis(500), Term(2));
+  BOOST_TEST((lease.since == Time(1300)));
+  BOOST_TEST((lease.term == Term(2)));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_an_older_request_shortens_nothing) {
   HeldLease lease = ExtendLease(HeldLease(), kFirst, Time(1000), Millis(500));
   lease = ExtendLease(lease, kFirst, Time(900), Millis(500));
