--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -5,8 +5,13 @@
 /// that must run on the primary are fenced by the endpoint: they run in a
 /// read-write transaction, which an endpoint that is no longer primary refuses.
 /// Where a replaced primary goes on serving, reads in such a transaction also
-/// need a lease on the primary. Writes need none: no replica receives from a
-/// primary that is being replaced, so nothing is acknowledged.
+/// need a lease on the primary.
+///
+/// Commits of writes always need one: a primary acknowledges a commit as soon
+/// as one replica has it, also while another replica is being promoted. A
+/// single write and a COMMIT after writes are sent only under a lease. A
+/// success that arrives while no lease on the answer's term covers it is held
+/// back until one does; its outcome is unknown if that does not happen in time.
 #ifndef CARDAMOMCHUTE_RELAY_ENDPOINT_POOL_H_
 #define CARDAMOMCHUTE_RELAY_ENDPOINT_POOL_H_
 
@@ -64,8 +69,10 @@
   /// if there is no answer.
   std::function<void(std::function<void(std::optional<FloorAnswer>)>)>
       ask_floor;
-  /// Requests a lease on the primary; empty if none is needed.
+  /// Requests a lease on the primary; empty if none is needed for anything.
   std::function<void()> renew_lease;
+  /// Reads at the primary need a lease, too: a replaced one goes on serving.
+  bool reads_need_lease = false;
 };
 
 class EndpointPool : public std::enable_shared_from_this<EndpointPool> {
@@ -97,10 +104,13 @@
   /// Closes all connections and fails all statements.
   void Close();
 
-  bool Idle() const { return jobs_.empty() && running_ == 0 && !AnyPinned(); }
+  bool Idle() const {
+    return jobs_.empty() && running_ == 0 && withheld_.empty() && !AnyPinned();
+  }
   size_t connections() const { return held_.size(); }
   Time last_used() const { return last_used_; }
   const Address& address() const { return params_.address; }
+  const GroupId& group() const { return params_.group; }
 
  private:
   struct Job {
@@ -133,6 +143,12 @@
     std::set<std::string> prepared;
   };
   using HeldPtr = std::shared_ptr<Held>;
+  /// A success that no lease allows to pass on yet.
+  struct Acknowledgement {
+    std::unique_ptr<Job> job;
+    RunAnswer answer;
+    Time sent_at;
+  };
   /// Selects transactions by their owner.
   using OwnerFilter = std::function<bool(const SessionKey&, uint64_t run)>;
 
@@ -142,10 +158,29 @@
   void AskFloor();
   void Dispatch();
   bool CanRun(const Job& job);
+  /// Whether the statement waits in the queue for a lease.
+  bool AwaitsLease(const Job& job, Time now);
+  /// Whether a statement outside of a transaction, or a read in one, may run.
   bool LeaseAllows(const Job& job, Time now);
+  /// Whether a statement may run in the transaction on `held`.
+  bool LeaseAllowsIn(const Held& held, const Job& job, Time now);
   /// Whether a lease covers reads sent at `at`; true if none is needed.
   bool Leased(Time at, Duration max_staleness) const;
+  /// Whether a lease covers commits of writes; true if none is needed.
+  bool CommitsLeased(Time now) const;
+  /// Requests a lease, or its renewal if it ends soon.
   void KeepLease(Time now);
+  /// Keeps the lease while acknowledgements are due or held back.
+  void KeepLeaseForCommits(Time now);
+  bool MayAcknowledge(const Acknowledgement& held, Time now) const;
+  /// Passes a success on, now or once a lease allows it.
+  void Acknowledge(Acknowledgement done);
+  /// Passes on what the lease allows, and ends what no lease can allow.
+  void SettleWithheld(Time now);
+  /// Returns why `held` will never be passed on; empty if it still may be.
+  std::string WithheldForGood(const Acknowledgement& held, Time now) const;
+  void EndWithheld(const OwnerFilter& which, const std::string& reason);
+  void Withhold(Acknowledgement held, const std::string& reason);
   HeldPtr FindPinned(const SessionKey& key, uint64_t run);
   HeldPtr FindIdle(const Job& job);
   bool AnyPinned() const;
@@ -192,6 +227,8 @@
   EndpointPoolParams params_;
   PoolBounds bounds_;
   HeldLease lease_;
+  bool replaced_ = false;  ///< was the primary, and another one is now
+  std::vector<Acknowledgement> withheld_;
   boost::asio::steady_timer timer_;
   bool ticking_ = false;
   bool closed_ = false;
--- a/relay/include/cardamomchute/relay/run.h
+++ b/relay/include/cardamomchute/relay/run.h
@@ -129,6 +129,10 @@
     std::variant<RelayHello, RunRequest, RunAnswer, AbandonRun, FloorQuestion,
                  FloorAnswer, Ping, ControlHint>;
 
+/// Returns whether the statement's success tells its caller that writes are
+/// committed. `wrote`: its transaction may contain writes.
+bool CommitsWrites(const RunRequest& request, bool wrote);
+
 /// Returns the outcome to report for a statement whose answer is lost. Relies
 /// on the endpoint rolling back an uncommitted transaction when its connection
 /// closes. `sent`: the statement may have reached the endpoint. `wrote`: its
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -8,6 +8,12 @@
 #include "pool_timing.h"
 
 namespace cardamomchute {
+namespace {
+
+constexpr char kReplaced[] = "another endpoint is the primary now";
+
+}  // namespace
+
 std::string_view ToString(EndpointProblem trouble) {
   switch (trouble) {
     case EndpointProblem::kRefused:
@@ -39,10 +45,13 @@
 void EndpointPool::SetBounds(const PoolBounds& bounds) {
   bool lost_primary_role = bounds_.is_primary && !bounds.is_primary;
   if (bounds_.is_primary != bounds.is_primary) proof_.reset();
+  if (bounds.is_primary) replaced_ = false;
+  if (lost_primary_role) replaced_ = true;
   bounds_ = bounds;
   queue_.SetCapacity(Lane::kPrimary, bounds_.slots);
   queue_.SetCapacity(Lane::kOverdue, bounds_.slots);
   if (!lost_primary_role) return;
+  EndWithheld([](const SessionKey&, uint64_t) { return true; }, kReplaced);
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const RunRequest& request = it->second->request;
     bool needs_lead = request.at_primary || request.writes;
@@ -53,8 +62,7 @@
     queue_.Remove(it->first);
     std::unique_ptr<Job> job = std::move(it->second);
     it = jobs_.erase(it);
-    Refuse(std::move(job), StatementStatus::kReadOnly,
-           "another endpoint is the primary now");
+    Refuse(std::move(job), StatementStatus::kReadOnly, kReplaced);
   }
 }
 
@@ -87,6 +95,11 @@
     return Refuse(std::move(job), StatementStatus::kUnreachable,
                   "the endpoint does not answer");
   }
+  // No lease will come that the write could wait for.
+  bool unleasable =
+      params_.renew_lease && replaced_ && CommitsWrites(job->request, false);
+  if (unleasable)
+    return Refuse(std::move(job), StatementStatus::kReadOnly, kReplaced);
   if (begins && !PlanFloor(job.get(), now)) return ParkForFloor(std::move(job));
   Enqueue(std::move(job));
   Dispatch();
@@ -147,43 +160,12 @@
 }
 
 bool EndpointPool::CanRun(const Job& job) {
-  if (!InTransaction(job.request.step))
-    return LeaseAllows(job, Now()) && FindIdle(job) != nullptr;
+  if (AwaitsLease(job, Now())) return false;
+  if (!InTransaction(job.request.step)) return FindIdle(job) != nullptr;
   HeldPtr held = FindPinned(job.key, job.request.run);
   return !held || !held->busy;
 }
 
-/// Returns whether a statement may run here at `now`. A read at the primary
-/// needs a lease; if its route allows stale data, the lease may have ended as
-/// long ago.
-bool EndpointPool::LeaseAllows(const Job& job, Time now) {
-  const RunRequest& request = job.request;
-  bool in_plain = request.step == RunStep::kNext && !request.read_only;
-  bool read_at_primary = !request.writes && (job.fenced || in_plain);
-  if (!read_at_primary) return true;
-  KeepLease(now);
-  return Leased(now, request.max_staleness);
-}
-
-bool EndpointPool::Leased(Time at, Duration max_staleness) const {
-  if (!params_.renew_lease) return true;
-  Duration slack = std::max(max_staleness - kStalenessMargin, Duration());
-  return LeaseCovers(lease_, params_.endpoint, at, slack);
-}
-
-void EndpointPool::KeepLease(Time now) {
-  if (!params_.renew_lease || !bounds_.is_primary) return;
-  bool held = lease_.endpoint == params_.endpoint &&
-              lease_.until - now >= kLeaseRenewal;
-  if (!held) params_.renew_lease();
-}
-
-void EndpointPool::SetLease(const HeldLease& lease) {
-  lease_ = lease;
-  if (!floor_waiters_.empty()) ProbePrimary(Now());
-  Dispatch();
-}
-
 void EndpointPool::Dispatch() {
   while (!closed_ && running_ < bounds_.slots && queue_.size() > 0) {
     std::optional<QueueItem> item = queue_.Next(
@@ -202,8 +184,7 @@
              "the transaction's connection was lost");
       continue;
     }
-    bool reads = job->request.step == RunStep::kNext && !job->request.writes;
-    if (reads && !held->leased && !LeaseAllows(*job, Now())) {
+    if (!LeaseAllowsIn(*held, *job, Now())) {
       Release(held);
       Refuse(std::move(job), StatementStatus::kAborted,
              "no lease on the primary");
@@ -347,6 +328,8 @@
   held->sent = true;
   held->sent_at = Now();
   if (request.writes) held->wrote = true;
+  // A transaction's first write asks already, so that COMMIT seldom waits.
+  if (held->wrote) KeepLease(held->sent_at);
   std::weak_ptr<EndpointPool> weak = weak_from_this();
   std::weak_ptr<Held> weak_held = held;
   held->link->Send(commands, [weak, weak_held](const CommandAnswer& answer) {
@@ -380,6 +363,7 @@
     return Dispatch();
   }
   Time now = Now();
+  Time sent_at = held->sent_at;
   queue_.RecordServiceTime(request.rank,
                            job->late ? Lane::kOverdue : Lane::kPrimary,
                            now - held->sent_at);
@@ -390,7 +374,8 @@
   bool plain_run = job->fenced || (held->pinned && held->wrote);
   if (done && ((request.writes && !commit) || (plain_run && !commit)))
     NoteProof(held, answer);
-  if (request.writes || (commit && held->wrote)) last_write_done_ = now;
+  bool commits = CommitsWrites(request, held->wrote);
+  if (request.writes || commits) last_write_done_ = now;
   ReportAnswer(*job, answer.outcome);
 
   RunAnswer out;
@@ -408,7 +393,11 @@
   } else if (!fenced_single) {
     EndRun(held, answer.state);
   }
-  Finish(std::move(job), std::move(out));
+  if (done && commits) {
+    Acknowledge({std::move(job), std::move(out), sent_at});
+  } else {
+    Finish(std::move(job), std::move(out));
+  }
   Dispatch();
 }
 
--- a/relay/src/endpoint_pool_abandon.cc
+++ b/relay/src/endpoint_pool_abandon.cc
@@ -36,6 +36,7 @@
     }
     if (held->pinned && abandoned(*held->pinned, held->run)) Release(held);
   }
+  EndWithheld(abandoned, kCallerGone);
   for (std::unique_ptr<Job>& job : waiting)
     Refuse(std::move(job), StatementStatus::kAborted, kCallerGone);
 }
--- a/relay/src/endpoint_pool_connections.cc
+++ b/relay/src/endpoint_pool_connections.cc
@@ -146,6 +146,7 @@
     held->link->Close();
   }
   running_ = 0;
+  EndWithheld([](const SessionKey&, uint64_t) { return true; }, "pool closed");
   ServeFloorWaiters(Now(), true);
 }
 
--- a/relay/src/endpoint_pool_floors.cc
+++ b/relay/src/endpoint_pool_floors.cc
@@ -90,7 +90,7 @@
 
 /// Asks the primary for its position with an empty transaction.
 void EndpointPool::ProbePrimary(Time now) {
-  KeepLease(now);
+  if (params_.reads_need_lease) KeepLease(now);
   bool may_probe = bounds_.is_primary && Leased(now, Duration());
   if (probing_ || !may_probe) return;
   Job any;
--- a/relay/src/endpoint_pool_watch.cc
+++ b/relay/src/endpoint_pool_watch.cc
@@ -30,9 +30,11 @@
   NoteDown(now);
   WatchForTrouble(now);
   ServeFloorWaiters(now, false);
+  SettleWithheld(now);
+  KeepLeaseForCommits(now);
   Dispatch();
   bool due = connect_failed_ || !jobs_.empty() || !parked_.empty() ||
-             !floor_waiters_.empty() ||
+             !floor_waiters_.empty() || !withheld_.empty() ||
              std::any_of(held_.begin(), held_.end(),
                          [](const HeldPtr& held) { return held->busy; });
   if (due) ScheduleTick();
@@ -48,7 +50,7 @@
     std::unique_ptr<Job> job = std::move(it->second);
     it = jobs_.erase(it);
     bool transaction = InTransaction(job->request.step);
-    bool leased = transaction || LeaseAllows(*job, now);
+    bool leased = !AwaitsLease(*job, now);
     if (transaction) Abandon(job->key, job->request.run);
     Refuse(std::move(job),
            transaction ? StatementStatus::kAborted : StatementStatus::kBusy,
@@ -162,8 +164,8 @@
     if (!held->busy) continue;
     if (now - held->sent_at > kSilence) silent = true;
     if (!held->job || !held->sent) continue;
-    bool write = held->job->request.writes ||
-                 (held->job->request.step == RunStep::kCommit && held->wrote);
+    const RunRequest& request = held->job->request;
+    bool write = request.writes || CommitsWrites(request, held->wrote);
     if (write && now - held->sent_at > kWriteStall) stalled = true;
   }
   if (silent && now - last_read_ > kSilence) {
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -244,6 +244,7 @@
       if (self) self->AskLease(group);
     };
   }
+  params.reads_need_lease = static_cast<bool>(params_.ask_leases);
   pool = std::make_shared<EndpointPool>(std::move(params));
   SetPoolBounds(endpoint, pool.get());
   auto lease = leases_.find(group);
--- a/relay/test/endpoint_pool-test.cc
+++ b/relay/test/endpoint_pool-test.cc
@@ -2,99 +2,11 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "cardamomchute/platform/line_protocol.h"
-#include "line_group.h"
+#include "pool_fixture.h"
 
 namespace cardamomchute {
 namespace {
 
-SessionKey KeyOf(const std::string& relay, uint64_t session) {
-  return SessionKey{RelayLink{VmId(relay)}, session};
-}
-
-/// A pool to one member of a stand-in group.
-struct Fixture {
-  explicit Fixture(size_t member = 0, size_t members = 3, bool leases = false)
-      : group(&io, "g1", members) {
-    EndpointPoolParams params;
-    params.executor = io.get_executor();
-    params.protocol = &protocol;
-    params.endpoint = group.member(member).id;
-    params.group = GroupId("g1");
-    params.address = group.member(member).address;
-    params.report = [this](EndpointProblem trouble) {
-      troubles.push_back(trouble);
-    };
-    params.ask_floor =
-        [this](std::function<void(std::optional<FloorAnswer>)> done) {
-          ++floors_asked;
-          if (hold_floor) {
-            held_floor = std::move(done);
-          } else {
-            done(floor);
-          }
-        };
-    if (leases) params.renew_lease = [this] { ++leases_asked; };
-    pool = std::make_shared<EndpointPool>(std::move(params));
-    bounds.slots = 2;
-    bounds.connections = 4;
-    bounds.is_primary = member == 0;
-    pool->SetBounds(bounds);
-  }
-  ~Fixture() { pool->Close(); }
-
-  RunRequest Request(RunStep step, const std::string& text) {
-    RunRequest request;
-    request.step = step;
-    request.run = 1;
-    request.writes = text.starts_with("WRITE");
-    request.at_primary = true;
-    request.target = Millis(500);
-    request.hold = Seconds(2);
-    request.timeout = Seconds(3);
-    request.id = "q" + std::to_string(++next_id);
-    request.text = text;
-    return request;
-  }
-
-  /// The answers arrive in `answers`, in the order of their arrival.
-  void Submit(RunRequest request, const std::string& caller = "a") {
-    pool->Submit(
-        std::move(request), KeyOf(caller, 1),
-        [this](RunAnswer answer) { answers.push_back(std::move(answer)); });
-  }
-
-  RunAnswer Run(RunRequest request, const std::string& caller = "a") {
-    size_t before = answers.size();
-    Submit(std::move(request), caller);
-    RunUntil([&] { return answers.size() > before; });
-    BOOST_REQUIRE(answers.size() > before);
-    return answers.back();
-  }
-
-  bool RunUntil(const std::function<bool()>& done) {
-    Time limit = Now() + Seconds(10);
-    while (!done() && Now() < limit)
-      io.run_one_for(std::chrono::milliseconds(20));
-    return done();
-  }
-
-  boost::asio::io_context io;
-  EndpointProtocol protocol = LineEndpointProtocol();
-  LineGroup group;
-  std::shared_ptr<EndpointPool> pool;
-  PoolBounds bounds;
-  std::vector<RunAnswer> answers;
-  std::vector<EndpointProblem> troubles;
-  std::optional<FloorAnswer> floor;
-  bool hold_floor =
-      false;  ///< questions stay open until `held_floor` is called
-  std::function<void(std::optional<FloorAnswer>)> held_floor;
-  int floors_asked = 0;
-  int leases_asked = 0;
-  int next_id = 0;
-};
-
 BOOST_AUTO_TEST_SUITE(endpoint_pool)
 
 BOOST_AUTO_TEST_CASE(a_write_and_a_fenced_read_run_once) {
@@ -133,25 +45,21 @@
   BOOST_TEST(!f.troubles.empty());
 }
 
-HeldLease LeaseFor(Fixture& f, Duration valid) {
-  return ExtendLease(HeldLease(), f.group.member(0).id, Now(), valid);
-}
-
 BOOST_AUTO_TEST_CASE(a_read_at_the_primary_waits_for_a_lease) {
-  Fixture f(0, 3, true);
+  Fixture f(0, 3, Leases::kForAll);
   f.Submit(f.Request(RunStep::kSingle, "READ k"));
   f.RunUntil([&] { return f.leases_asked > 2; });
   BOOST_TEST(f.answers.empty());
   BOOST_TEST(f.group.member(0).runs.empty());
-  f.pool->SetLease(LeaseFor(f, Seconds(5)));
+  f.pool->SetLease(f.LeaseFor(Seconds(5)));
   BOOST_TEST(f.RunUntil([&] { return !f.answers.empty(); }));
   BOOST_TEST((f.answers.at(0).outcome == StatementStatus::kDone));
 }
 
 BOOST_AUTO_TEST_CASE(a_replaced_primary_that_goes_on_is_not_read) {
-  Fixture f(0, 3, true);
+  Fixture f(0, 3, Leases::kForAll);
   f.group.SetReplacedGoesOn();
-  f.pool->SetLease(LeaseFor(f, Millis(300)));
+  f.pool->SetLease(f.LeaseFor(Millis(300)));
   BOOST_TEST((f.Run(f.Request(RunStep::kSingle, "READ k")).outcome ==
               StatementStatus::kDone));
   BOOST_TEST((f.Run(f.Request(RunStep::kFirst, "WRITE k v")).outcome ==
@@ -173,7 +81,7 @@
 
 /// Without a position to compare, it would have to run on the primary.
 BOOST_AUTO_TEST_CASE(a_read_only_transaction_at_the_primary_waits_for_a_lease) {
-  Fixture f(0, 3, true);
+  Fixture f(0, 3, Leases::kForAll);
   RunRequest read = f.Request(RunStep::kFirst, "READ k");
   read.read_only = true;
   read.at_primary = false;
@@ -186,12 +94,12 @@
 
 /// A transaction that began with a write had no need of a lease.
 BOOST_AUTO_TEST_CASE(a_read_in_a_transaction_without_a_lease_aborts_it) {
-  Fixture f(0, 3, true);
+  Fixture f(0, 3, Leases::kForAll);
   BOOST_TEST(f.Run(f.Request(RunStep::kFirst, "WRITE k v")).transaction);
   RunAnswer read = f.Run(f.Request(RunStep::kNext, "READ k"));
   BOOST_TEST((read.outcome == StatementStatus::kAborted));
   BOOST_TEST(f.RunUntil([&] { return f.pool->Idle(); }));
-  f.pool->SetLease(LeaseFor(f, Seconds(5)));
+  f.pool->SetLease(f.LeaseFor(Seconds(5)));
   BOOST_TEST(f.Run(f.Request(RunStep::kFirst, "READ k")).transaction);
   BOOST_TEST((f.Run(f.Request(RunStep::kNext, "READ k")).outcome ==
               StatementStatus::kDone));
@@ -199,8 +107,8 @@
 
 /// What a route allows to be missing may have been committed after the lease.
 BOOST_AUTO_TEST_CASE(a_read_that_may_be_stale_uses_a_lease_that_has_ended) {
-  Fixture f(0, 3, true);
-  f.pool->SetLease(LeaseFor(f, Millis(1)));
+  Fixture f(0, 3, Leases::kForAll);
+  f.pool->SetLease(f.LeaseFor(Millis(1)));
   f.RunUntil([until = Now() + Millis(20)] { return Now() > until; });
   RunRequest read = f.Request(RunStep::kFirst, "READ k");
   read.max_staleness = Millis(1500);
@@ -344,7 +252,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(no_connections_are_opened_while_a_lease_is_missing) {
-  Fixture f(0, 3, true);
+  Fixture f(0, 3, Leases::kForAll);
   f.pool->Warm();
   f.RunUntil([until = Now() + Millis(100)] { return Now() > until; });
   size_t open = f.pool->connections();
