--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -38,7 +38,7 @@
   control.on_push = [this](const DirectoryPush& push) { OnPush(push); };
   control.on_lease = [this](const PrimaryLeaseGrant& grant) {
     asio::post(traffic_, [relay = relay_, grant] {
-      relay->OnLeases(grant.number, grant.valid, grant.primaries);
+      relay->OnLeases(grant.number, grant.valid, grant.primaries, {});
     });
   };
   control.seeds = [this] {
@@ -67,7 +67,8 @@
   relay.on_control_hint = [this](const std::vector<Address>& members) {
     asio::post(control_, [this, members] { link_->AddMembers(members); });
   };
-  if (!settings_.fencing) {
+  relay.reads_need_lease = !settings_.fencing;
+  if (relay.reads_need_lease) {
     relay.ask_leases = [this](uint64_t number,
                               const std::vector<GroupId>& groups) {
       asio::post(control_, [this, number, groups] {
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -42,8 +42,11 @@
   std::function<void(const GroupId&, const EndpointId&, EndpointProblem)>
       report;
   /// Requests leases on the primaries of these groups; `OnLeases` gets the
-  /// answer. Empty if none are needed. Called on the traffic thread.
+  /// answer. Empty if none are needed, not even for commits of writes. Called
+  /// on the traffic thread.
   std::function<void(uint64_t number, const std::vector<GroupId>&)> ask_leases;
+  /// Reads at the primary need a lease, too: a replaced one goes on serving.
+  bool reads_need_lease = false;
   /// Gets addresses of control members that have called this relay; on the
   /// traffic thread.
   std::function<void(const std::vector<Address>&)> on_control_hint;
@@ -66,10 +69,13 @@
   /// deltas in quick succession.
   void OnDirectory(const DirectoryDelta& delta);
   void OnLayout(std::shared_ptr<const Layout> layout);
-  /// Takes the answer to request `number`: leases on `primaries` for `valid`
-  /// from when it was sent.
+  /// Takes the answer to request `number`: leases on `primaries` of `terms` for
+  /// `valid` from when it was sent. A lease without a term allows reads only.
   void OnLeases(uint64_t number, Duration valid,
-                const std::map<GroupId, EndpointId>& primaries);
+                const std::map<GroupId, EndpointId>& primaries,
+                const std::map<GroupId, Term>& terms);
+  /// Drops the lease on the group's primary, and answers to earlier requests.
+  void RevokeLease(const GroupId& group);
   /// Closes sessions as they become idle, and those with open transactions
   /// after `transactions`. `done` runs once, by `limit` at the latest.
   void Drain(Duration transactions, Duration limit, std::function<void()> done);
@@ -98,6 +104,10 @@
     uint64_t waiting = 0;
     Time at;
   };
+  struct LeaseRequest {
+    GroupId group;
+    Time asked;
+  };
 
   void TakeCaller(boost::asio::ip::tcp::socket socket);
   void AssignSoon();
@@ -151,8 +161,8 @@
   std::map<GroupId, HeldLease> leases_;
   /// When the newest lease request of each group was sent.
   std::map<GroupId, Time> lease_asked_;
-  /// Send times of lease requests without an answer.
-  std::map<uint64_t, Time> lease_requests_;
+  /// Lease requests without an answer, by number.
+  std::map<uint64_t, LeaseRequest> lease_requests_;
   uint64_t next_lease_request_ = 0;
   std::map<EndpointId, Load> loads_;
   std::map<std::pair<EndpointId, Address>, Time> avoid_until_;
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -244,7 +244,7 @@
       if (self) self->AskLease(group);
     };
   }
-  params.reads_need_lease = static_cast<bool>(params_.ask_leases);
+  params.reads_need_lease = params_.reads_need_lease;
   pool = std::make_shared<EndpointPool>(std::move(params));
   SetPoolBounds(endpoint, pool.get());
   auto lease = leases_.find(group);
@@ -252,31 +252,6 @@
   return pool;
 }
 
-void Relay::AskLease(const GroupId& group) {
-  Time now = Now();
-  auto asked = lease_asked_.find(group);
-  bool recent = asked != lease_asked_.end() &&
-                now - asked->second < kLeaseRequestInterval;
-  if (recent) return;
-  lease_asked_[group] = now;
-  lease_requests_[++next_lease_request_] = now;
-  params_.ask_leases(next_lease_request_, {group});
-}
-
-void Relay::OnLeases(uint64_t number, Duration valid,
-                     const std::map<GroupId, EndpointId>& primaries) {
-  auto request = lease_requests_.find(number);
-  if (request == lease_requests_.end()) return;
-  Time asked = request->second;
-  lease_requests_.erase(request);
-  for (const auto& [group, endpoint] : primaries) {
-    HeldLease& lease = leases_[group];
-    lease = ExtendLease(lease, endpoint, asked, valid);
-    auto pool = pools_.find(endpoint);
-    if (pool != pools_.end()) pool->second->SetLease(lease);
-  }
-}
-
 void Relay::SetPoolBounds(const EndpointId& endpoint, EndpointPool* pool) {
   PoolBounds bounds;
   auto record = directory_.endpoints.find(endpoint);
@@ -475,7 +450,7 @@
   std::erase_if(avoid_until_,
                 [now](const auto& item) { return item.second <= now; });
   std::erase_if(lease_requests_, [now](const auto& item) {
-    return item.second + kPrimaryLease < now;
+    return item.second.asked + kPrimaryLease < now;
   });
   for (auto it = pools_.begin(); it != pools_.end();) {
     bool holds = SharersWith(it->first) > 0;
