--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -68,14 +68,12 @@
     asio::post(control_, [this, members] { link_->AddMembers(members); });
   };
   relay.reads_need_lease = !settings_.fencing;
-  if (relay.reads_need_lease) {
-    relay.ask_leases = [this](uint64_t number,
-                              const std::vector<GroupId>& groups) {
-      asio::post(control_, [this, number, groups] {
-        link_->RequestLeases({number, groups});
-      });
-    };
-  }
+  relay.ask_leases = [this](uint64_t number,
+                            const std::vector<GroupId>& groups) {
+    asio::post(control_, [this, number, groups] {
+      link_->RequestLeases({number, groups});
+    });
+  };
   relay_ = std::make_shared<Relay>(std::move(relay));
   BOOST_OUTCOME_TRYV(relay_->Start());
 
