--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -38,7 +38,7 @@
   control.on_push = [this](const DirectoryPush& push) { OnPush(push); };
   control.on_lease = [this](const PrimaryLeaseGrant& grant) {
     asio::post(traffic_, [relay = relay_, grant] {
-      relay->OnLeases(grant.number, grant.valid, grant.primaries);
+      relay->OnLeases(grant.number, grant.valid, grant.primaries, {});
     });
   };
   control.seeds = [this] {
@@ -67,14 +67,13 @@
   relay.on_control_hint = [this](const std::vector<Address>& members) {
     asio::post(control_, [this, members] { link_->AddMembers(members); });
   };
-  if (!settings_.fencing) {
-    relay.ask_leases = [this](uint64_t number,
-                              const std::vector<GroupId>& groups) {
-      asio::post(control_, [this, number, groups] {
-        link_->RequestLeases({number, groups});
-      });
-    };
-  }
+  relay.reads_need_lease = !settings_.fencing;
+  relay.ask_leases = [this](uint64_t number,
+                            const std::vector<GroupId>& groups) {
+    asio::post(control_, [this, number, groups] {
+      link_->RequestLeases({number, groups});
+    });
+  };
   relay_ = std::make_shared<Relay>(std::move(relay));
   BOOST_OUTCOME_TRYV(relay_->Start());
 
--- a/policy/src/primary_lease.cc
+++ b/policy/src/primary_lease.cc
@@ -96,11 +96,12 @@
 }
 
 HeldLease ExtendLease(const HeldLease& held, const EndpointId& endpoint,
-                      Time asked, Duration valid) {
+                      Time asked, Duration valid, Term term) {
   Time until = asked + valid;
-  bool unbroken = held.endpoint == endpoint && asked <= held.until;
-  if (!unbroken) return HeldLease{endpoint, asked, until};
-  return HeldLease{endpoint, held.since, std::max(held.until, until)};
+  bool unbroken =
+      held.endpoint == endpoint && held.term == term && asked <= held.until;
+  if (!unbroken) return HeldLease{endpoint, asked, until, term};
+  return HeldLease{endpoint, held.since, std::max(held.until, until), term};
 }
 
 bool LeaseCovers(const HeldLease& lease, const EndpointId& endpoint, Time at,
