--- a/apps/cardamomchuted/relay_node.cc
+++ b/apps/cardamomchuted/relay_node.cc
@@ -38,7 +38,14 @@
   control.on_push = [this](const DirectoryPush& push) { OnPush(push); };
   control.on_lease = [this](const PrimaryLeaseGrant& grant) {
     asio::post(traffic_, [relay = relay_, grant] {
-      relay->OnLeases(grant.number, grant.valid, grant.primaries, {});
+      relay->OnLeases(grant.number, grant.valid, grant.primaries, grant.terms);
+    });
+  };
+  control.on_revocation = [this](const GroupId& group,
+                                 std::function<void()> confirm) {
+    asio::post(traffic_, [this, group, confirm = std::move(confirm)] {
+      relay_->RevokeLease(group);
+      asio::post(control_, confirm);
     });
   };
   control.seeds = [this] {
