--- a/policy/include/cardamomchute/policy/replacement_steps.h
+++ b/policy/include/cardamomchute/policy/replacement_steps.h
@@ -88,6 +88,9 @@
   bool demote_tried = false;
   Time demoted_at;
   bool leases_ended = false;
+  Time leases_asked;  ///< when the end of the leases was asked for
+  /// The primary did not answer: pause the others below this term next.
+  std::optional<Term> pause_below;
   EndpointId chosen;  ///< of the last order
   Time order_sent;
   bool awaits_effect = false;  ///< of the last order
--- a/policy/src/replacement_steps.cc
+++ b/policy/src/replacement_steps.cc
@@ -205,8 +205,11 @@
   bool begun = run->demote_tried || !run->orders.empty() || AnyPaused(answers);
   if (!SuspectsPrimary(run->cause) && !leader && !begun)
     return Wait(run, kStatusInterval, Replacement::After::kFinish);
-  if (!run->former.log_end && !run->leases_ended)
+  if (!run->former.log_end && !run->leases_ended) {
+    run->pause_below = HighestTerm(answers).Next();
+    run->leases_asked = now;
     return {{.kind = Kind::kEndLeases}};
+  }
   return Decide(run, answers, now);
 }
 
@@ -219,7 +222,12 @@
 
 ReplacementActions OnLeasesEnded(Replacement* run, Time now) {
   run->leases_ended = true;
-  return AskStatus(run, now);
+  std::optional<Term> below = std::exchange(run->pause_below, std::nullopt);
+  // After a longer wait the primary may be back.
+  bool recent = below && now - run->leases_asked < kStatusInterval;
+  if (!recent) return AskStatus(run, now);
+  return {
+      {.kind = Kind::kPause, .endpoint = run->former.endpoint, .term = *below}};
 }
 
 ReplacementActions OnPaused(Replacement* run, Answers answers, Time now) {
