Promote no replica that lacks what was acknowledged

The successor was the furthest replica that had answered within a second. A replica that alone had received the last acknowledged writes could be silent or refuse connections then, and the failover took another one: the writes were lost. The same held for a leaving primary, whose position and the replica's were compared as of their last answers.

The owner now remembers the furthest write that it acknowledged as replicated, and only a replica that has received it can become the candidate. While there is none, the failover waits up to 15 s for one or for the primary, and takes the furthest after that. Nothing is acknowledged meanwhile. Where a reachable replica has all, as with one failure, there is no wait.

The new tests of failover-test and of failover_executor-test fail if the position is not compared.

--- a/endpoints/src/answers.cc
+++ b/endpoints/src/answers.cc
@@ -164,6 +164,9 @@
       members_->ProbeReplicasNow(now);
       return SchedulePoll();
     }
+    if (wrote && spec_.ack == AckMode::kReplicated) {
+      failover_->RecordAcknowledged(at);
+    }
   } else {
     RecordRead(channel->floor.get(), job->endpoint, job->term, job->by_primary,
                now);
--- a/endpoints/src/failover_executor.cc
+++ b/endpoints/src/failover_executor.cc
@@ -59,6 +59,7 @@
   inputs.now = now;
   inputs.members = members_->Health(now);
   inputs.primary_busy = primary_busy_;
+  inputs.acknowledged = acknowledged_;
   ViewPtr view = params_.view();
   if (!view) return inputs;
   auto record = view->groups.find(group_);
@@ -81,6 +82,10 @@
   return cardamomchute::MayUsePrimary(state_, inputs);
 }
 
+void FailoverExecutor::RecordAcknowledged(const Floor& at) {
+  acknowledged_ = std::max(acknowledged_, at);
+}
+
 void FailoverExecutor::Tick(Time now) {
   if (stopped_ || !params_.lease->ValidAt(now)) return;
   FailoverInputs inputs = MakeInputs(now);
@@ -96,6 +101,12 @@
       .Field("step", ToString(action.kind))
       .Field("endpoint", action.endpoint)
       .Field("term", action.term);
+  if (action.may_lose_writes) {
+    LogLine(LogLevel::kWarn, "failover_may_lose_writes")
+        .Field("group", group_)
+        .Field("endpoint", action.endpoint)
+        .Field("acknowledged", ToString(acknowledged_));
+  }
   switch (action.kind) {
     case FailoverAction::Kind::kNone:
       return;
--- a/endpoints/src/failover_executor.h
+++ b/endpoints/src/failover_executor.h
@@ -26,6 +26,9 @@
   /// Sets whether statements run at the primary. A primary that is leaving may
   /// finish them before it is replaced.
   void SetPrimaryBusy(bool busy) { primary_busy_ = busy; }
+  /// Records that a write up to `at` is acknowledged as replicated. Call before
+  /// the caller is told.
+  void RecordAcknowledged(const Floor& at);
   /// Starts the next failover step if one is due. Call on every group tick.
   void Tick(Time now);
   void Stop() { stopped_ = true; }
@@ -56,6 +59,7 @@
   std::string database_;
   FailoverState state_;
   bool primary_busy_ = false;
+  Floor acknowledged_;
   bool stopped_ = false;
 };
 
--- a/endpoints/test/failover_executor-test.cc
+++ b/endpoints/test/failover_executor-test.cc
@@ -220,4 +220,23 @@
   BOOST_TEST(f.endpoints[0]->Count("INSERT second") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_without_the_acknowledged_write_is_not_promoted) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[0]->replicas = {f.endpoints[2].get()};
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[2]->silent = true;
+  f.RunFor(kCandidateFreshness + Millis(100));
+  f.endpoints[0]->Kill();
+  f.RunFor(Seconds(3));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+  BOOST_TEST(f.record().primary == f.Id(0));
+  f.endpoints[2]->silent = false;
+  f.endpoints[2]->ResetConnections();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
+}
+
 }  // namespace cardamomchute
--- a/policy/include/cardamomchute/policy/failover.h
+++ b/policy/include/cardamomchute/policy/failover.h
@@ -20,6 +20,11 @@
 inline constexpr Duration kCandidateTimeout = Millis(1500);
 /// A member whose last answer is older than this cannot be a candidate.
 inline constexpr Duration kCandidateFreshness = Millis(1000);
+/// While no reachable replica certainly has all that was acknowledged, a
+/// failover waits this long for one that has, or for the primary. Then the
+/// furthest replica is taken, since a member that is gone for good must not
+/// block the group.
+inline constexpr Duration kLostReplicaTimeout = Seconds(15);
 /// Delay before a failed step is retried.
 inline constexpr Duration kFailoverRetry = Millis(200);
 /// A leaving primary hands over after this time even if statements still run.
@@ -51,6 +56,8 @@
   Term term;
   std::optional<FailoverIntent> intent;
   std::vector<MemberHealth> members;
+  /// The furthest write that this owner acknowledged as replicated.
+  Floor acknowledged;
   /// Whether statements still run on the primary.
   bool primary_busy = false;
 };
@@ -77,6 +84,8 @@
   Kind kind = Kind::kNone;
   EndpointId endpoint;
   Term term;
+  /// kLostReplicaTimeout has passed: `endpoint` may lack acknowledged writes.
+  bool may_lose_writes = false;
 };
 
 struct FailoverState {
@@ -86,6 +95,8 @@
   std::optional<Time> idle_since;  ///< start of a leaving primary's idle time
   Time not_before;                 ///< earliest time of the next action
   bool busy = false;               ///< an action is in progress
+  /// Since when no reachable replica certainly has all that was acknowledged.
+  std::optional<Time> incomplete_since;
   EndpointId candidate;
   Term new_term;
 };
--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -1,6 +1,7 @@
 #include "cardamomchute/policy/failover.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace cardamomchute {
 namespace {
@@ -50,13 +51,26 @@
   return tied ? nullptr : best;
 }
 
-/// Returns the replica with the highest received position; among equals one
-/// that is not leaving.
-const MemberHealth* BestCandidate(const FailoverInputs& inputs) {
+bool IsReachableReplica(const MemberHealth& member,
+                        const FailoverInputs& inputs) {
+  return member.id != inputs.primary && Fresh(member, inputs.now) &&
+         !member.is_primary;
+}
+
+/// Whether the replica certainly has all that was acknowledged.
+bool HasAllAcknowledged(const MemberHealth& replica,
+                        const FailoverInputs& inputs) {
+  return replica.received >= inputs.acknowledged;
+}
+
+/// Returns the reachable replica with the highest received position; among
+/// equals one that is not leaving.
+const MemberHealth* Furthest(
+    const FailoverInputs& inputs,
+    const std::function<bool(const MemberHealth&)>& counts) {
   const MemberHealth* best = nullptr;
   for (const MemberHealth& member : inputs.members) {
-    if (member.id == inputs.primary || !Fresh(member, inputs.now)) continue;
-    if (member.is_primary) continue;
+    if (!IsReachableReplica(member, inputs) || !counts(member)) continue;
     if (best == nullptr || best->received < member.received ||
         (best->received == member.received && best->leaving &&
          !member.leaving)) {
@@ -66,6 +80,26 @@
   return best;
 }
 
+const MemberHealth* BestCandidate(const FailoverInputs& inputs) {
+  return Furthest(inputs, [&](const MemberHealth& member) {
+    return HasAllAcknowledged(member, inputs);
+  });
+}
+
+/// Returns the replica that is to replace the primary, or null while one that
+/// has all that was acknowledged is waited for.
+const MemberHealth* ChooseSuccessor(FailoverState* state,
+                                    const FailoverInputs& inputs) {
+  const MemberHealth* best = BestCandidate(inputs);
+  if (best != nullptr) {
+    state->incomplete_since.reset();
+    return best;
+  }
+  if (!state->incomplete_since) state->incomplete_since = inputs.now;
+  if (inputs.now - *state->incomplete_since < kLostReplicaTimeout) return {};
+  return Furthest(inputs, [](const MemberHealth&) { return true; });
+}
+
 bool Suspected(const FailoverInputs& inputs) {
   const MemberHealth* primary = Find(inputs, inputs.primary);
   if (primary == nullptr) return true;
@@ -79,7 +113,8 @@
 }
 
 /// Whether a leaving primary hands over: it is idle or kDrainTimeout has
-/// passed, and a replica that is not leaving has received everything.
+/// passed, and a replica that is not leaving has received everything that was
+/// acknowledged and that the primary reported.
 bool ReadyToHandOver(FailoverState* state, const FailoverInputs& inputs) {
   const MemberHealth* primary = Find(inputs, inputs.primary);
   if (primary == nullptr || !primary->leaving) {
@@ -120,11 +155,14 @@
 
 FailoverAction ProposeIntent(FailoverState* state,
                              const FailoverInputs& inputs) {
-  const MemberHealth* best = BestCandidate(inputs);
-  if (best == nullptr) return {};
-  state->candidate = best->id;
+  const MemberHealth* successor = ChooseSuccessor(state, inputs);
+  if (successor == nullptr) return {};
+  state->candidate = successor->id;
   Enter(state, Phase::kCommittingIntent, inputs.now);
-  return Act(state, Kind::kProposeIntent, best->id, inputs.term);
+  FailoverAction action =
+      Act(state, Kind::kProposeIntent, successor->id, inputs.term);
+  action.may_lose_writes = state->incomplete_since.has_value();
+  return action;
 }
 
 FailoverAction ProposeNewPrimary(FailoverState* state,
@@ -166,7 +204,10 @@
   bool itself = newer != nullptr && newer->id == inputs.primary;
   if (itself) return ProposeNewPrimary(state, inputs, *newer);
   if (ReadyToHandOver(state, inputs)) return ProposeIntent(state, inputs);
-  if (!Suspected(inputs)) return {};
+  if (!Suspected(inputs)) {
+    state->incomplete_since.reset();
+    return {};
+  }
   if (newer != nullptr) return ProposeNewPrimary(state, inputs, *newer);
   Enter(state, Phase::kQueryingObservers, inputs.now);
   return Act(state, Kind::kAskObservers, inputs.primary, inputs.term);
--- a/policy/test/failover-test.cc
+++ b/policy/test/failover-test.cc
@@ -195,4 +195,73 @@
   BOOST_TEST(intent.endpoint == EndpointId("b"));
 }
 
+BOOST_AUTO_TEST_CASE(no_replica_without_the_acknowledged_writes_is_promoted) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(Seconds(5));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  BOOST_TEST(!m.MayUse());
+  m.inputs.members[2].refused = false;
+  m.Pass(Millis(10));
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+  BOOST_TEST(!intent.may_lose_writes);
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_that_stays_away_does_not_block_the_group) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.Next();
+  m.Pass(kLostReplicaTimeout - Millis(1));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(Millis(1));
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("a"));
+  BOOST_TEST(intent.may_lose_writes);
+}
+
+BOOST_AUTO_TEST_CASE(the_wait_for_a_holder_begins_anew_with_each_failover) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.Next();
+  m.inputs.members[0].refused = false;
+  m.Pass(Millis(10));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  BOOST_TEST(m.MayUse());
+  m.Pass(kLostReplicaTimeout);
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_primary_waits_for_the_acknowledged_writes) {
+  Machine m;
+  m.inputs.members[0].leaving = true;
+  m.inputs.members[0].received = Floor{Term(1), Position(90)};
+  // The primary's and a's answers are older than what b confirmed.
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Pass(kDrainTimeout);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.inputs.members[1].received = Floor{Term(1), Position(95)};
+  BOOST_TEST((m.Next().kind == Kind::kProposeIntent));
+}
+
 }  // namespace cardamomchute
