Check the candidate of an intent again before it is promoted

An intent can be decided after its proposer has given it up: the owner then goes back to the primary, acknowledges writes through another replica, and the intent arrives with its candidate of before. It was promoted as it stood.

The candidate is promoted only if it has all that was acknowledged; otherwise an intent for a replica that has it is proposed at once, or waited for as before the intent. writes_acknowledged_before_a_late_intent_change_its_candidate fails without the check.

--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -153,9 +153,8 @@
   return Act(state, Kind::kProposePrimary, claimant->id, state->new_term);
 }
 
-FailoverAction ProposeIntent(FailoverState* state,
-                             const FailoverInputs& inputs) {
-  const MemberHealth* successor = ChooseSuccessor(state, inputs);
+FailoverAction ProposeIntent(FailoverState* state, const FailoverInputs& inputs,
+                             const MemberHealth* successor) {
   if (successor == nullptr) return {};
   state->candidate = successor->id;
   Enter(state, Phase::kCommittingIntent, inputs.now);
@@ -165,6 +164,13 @@
   return action;
 }
 
+FailoverAction Promote(FailoverState* state, const FailoverInputs& inputs) {
+  FailoverAction action =
+      Act(state, Kind::kPromote, state->candidate, inputs.intent->old_term);
+  action.may_lose_writes = state->incomplete_since.has_value();
+  return action;
+}
+
 FailoverAction ProposeNewPrimary(FailoverState* state,
                                  const FailoverInputs& inputs,
                                  const MemberHealth& member) {
@@ -174,7 +180,9 @@
   return Act(state, Kind::kProposePrimary, member.id, state->new_term);
 }
 
-/// Continues a committed intent, including one of a previous owner.
+/// Continues a committed intent, including one of a previous owner. Its
+/// candidate was chosen before the acknowledgements ended, so whether it has
+/// them is checked again.
 FailoverAction ContinueFailover(FailoverState* state,
                                 const FailoverInputs& inputs) {
   if (state->phase != Phase::kPromoting) {
@@ -187,12 +195,15 @@
       candidate->received.term > inputs.intent->old_term) {
     return ProposeNewPrimary(state, inputs, *candidate);
   }
-  if (reachable) {
-    return Act(state, Kind::kPromote, state->candidate,
-               inputs.intent->old_term);
+  const MemberHealth* successor = ChooseSuccessor(state, inputs);
+  bool complete = reachable && HasAllAcknowledged(*candidate, inputs);
+  if (complete || (reachable && successor == candidate)) {
+    return Promote(state, inputs);
   }
-  if (inputs.now - state->since < kCandidateTimeout) return {};
-  return ProposeIntent(state, inputs);
+  // A candidate that is out of reach may already carry out its promotion.
+  bool wait = !reachable && inputs.now - state->since < kCandidateTimeout;
+  if (wait) return {};
+  return ProposeIntent(state, inputs, successor);
 }
 
 FailoverAction MonitorPrimary(FailoverState* state,
@@ -203,7 +214,9 @@
   const MemberHealth* newer = SoleClaimant(inputs, inputs.term);
   bool itself = newer != nullptr && newer->id == inputs.primary;
   if (itself) return ProposeNewPrimary(state, inputs, *newer);
-  if (ReadyToHandOver(state, inputs)) return ProposeIntent(state, inputs);
+  if (ReadyToHandOver(state, inputs)) {
+    return ProposeIntent(state, inputs, BestCandidate(inputs));
+  }
   if (!Suspected(inputs)) {
     state->incomplete_since.reset();
     return {};
@@ -224,8 +237,8 @@
       return Act(state, Kind::kProposeRelease, inputs.primary, inputs.term);
     case Phase::kCommittingIntent:
       if (inputs.intent) return ContinueFailover(state, inputs);
-      if (Suspected(inputs)) return ProposeIntent(state, inputs);
-      break;
+      if (!Suspected(inputs)) break;
+      return ProposeIntent(state, inputs, ChooseSuccessor(state, inputs));
     case Phase::kCommittingPrimary:
       return Act(state, Kind::kProposePrimary, state->candidate,
                  state->new_term);
--- a/policy/test/failover-test.cc
+++ b/policy/test/failover-test.cc
@@ -264,4 +264,29 @@
   BOOST_TEST((m.Next().kind == Kind::kProposeIntent));
 }
 
+BOOST_AUTO_TEST_CASE(
+    writes_acknowledged_before_a_late_intent_change_its_candidate) {
+  Machine m;
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_candidate_is_not_replaced_by_one_that_lacks_writes) {
+  Machine m;
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Pass(kCandidateTimeout * 2);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kLostReplicaTimeout);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("a"));
+  BOOST_TEST(intent.may_lose_writes);
+}
+
 }  // namespace cardamomchute
