Replace a candidate that leads a rival of the current term

A late promotion of an earlier failover can make the candidate the primary of the term that is to be replaced. It was told again and again to promote itself, which a primary refuses, and the failover never ended. It now counts as out of reach and is replaced after kCandidateTimeout.

a_candidate_that_leads_a_rival_of_the_term_is_replaced fails without this.

--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -196,12 +196,13 @@
     return ProposeNewPrimary(state, inputs, *candidate);
   }
   const MemberHealth* successor = ChooseSuccessor(state, inputs);
-  bool complete = reachable && HasAllAcknowledged(*candidate, inputs);
-  if (complete || (reachable && successor == candidate)) {
+  bool promotable = reachable && !candidate->is_primary;
+  bool complete = promotable && HasAllAcknowledged(*candidate, inputs);
+  if (complete || (promotable && successor == candidate)) {
     return Promote(state, inputs);
   }
   // A candidate that is out of reach may already carry out its promotion.
-  bool wait = !reachable && inputs.now - state->since < kCandidateTimeout;
+  bool wait = !promotable && inputs.now - state->since < kCandidateTimeout;
   if (wait) return {};
   return ProposeIntent(state, inputs, successor);
 }
--- a/policy/test/failover-test.cc
+++ b/policy/test/failover-test.cc
@@ -289,4 +289,17 @@
   BOOST_TEST(intent.may_lose_writes);
 }
 
+BOOST_AUTO_TEST_CASE(a_candidate_that_leads_a_rival_of_the_term_is_replaced) {
+  Machine m;
+  m.inputs.term = Term(2);
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(2)};
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(2), Position(90)};
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kCandidateTimeout);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
 }  // namespace cardamomchute
