Let a new owner hear all replicas before it chooses

A new owner knows nothing of what its predecessor acknowledged. If the primary was lost with the owner, it promoted the best replica that answered within a second, or the candidate that it found in an intent, while a silent replica could have the only copy of the last writes.

The first position of the primary covers them. If the primary never answered the new owner, all replicas must, including those that are announced no more since less than 15 s, and the furthest of them is chosen if it follows the current term. Otherwise the failover waits up to 15 s as for the owner's own writes.

The new tests fail if what was inherited is taken as known.

--- a/endpoints/src/failover_executor.cc
+++ b/endpoints/src/failover_executor.cc
@@ -60,6 +60,7 @@
   inputs.members = members_->Health(now);
   inputs.primary_busy = primary_busy_;
   inputs.acknowledged = acknowledged_;
+  if (replicated_) inputs.inherited = members_->first_primary_position();
   ViewPtr view = params_.view();
   if (!view) return inputs;
   auto record = view->groups.find(group_);
--- a/endpoints/src/failover_executor.h
+++ b/endpoints/src/failover_executor.h
@@ -26,6 +26,9 @@
   /// Sets whether statements run at the primary. A primary that is leaving may
   /// finish them before it is replaced.
   void SetPrimaryBusy(bool busy) { primary_busy_ = busy; }
+  /// Sets whether acknowledged writes must be at a replica, so that a successor
+  /// must have them.
+  void SetReplicated(bool replicated) { replicated_ = replicated; }
   /// Records that a write up to `at` is acknowledged as replicated. Call before
   /// the caller is told.
   void RecordAcknowledged(const Floor& at);
@@ -59,6 +62,7 @@
   std::string database_;
   FailoverState state_;
   bool primary_busy_ = false;
+  bool replicated_ = true;
   Floor acknowledged_;
   bool stopped_ = false;
 };
--- a/endpoints/src/group.cc
+++ b/endpoints/src/group.cc
@@ -72,6 +72,7 @@
   pool_->SetSpec(spec_);
   members_->SetLogin(spec_.user, spec_.database);
   failover_->SetLogin(spec_.user, spec_.database);
+  failover_->SetReplicated(spec_.ack == AckMode::kReplicated);
 }
 
 void Group::SetRecord(const GroupState& record) {
--- a/endpoints/src/members.cc
+++ b/endpoints/src/members.cc
@@ -45,9 +45,11 @@
       continue;
     }
     member->second.prober->Stop();
+    departed_[member->first] = Now();
     member = members_.erase(member);
   }
   for (const auto& [id, state] : states) {
+    departed_.erase(id);
     Member& member = members_[id];
     member.state = state;
     if (member.prober) continue;
@@ -74,6 +76,7 @@
   bool local_stall =
       last_tick_ != Time() && now - last_tick_ > kLocalStallThreshold;
   last_tick_ = now;
+  ForgetDeparted(now);
   for (auto& [id, member] : members_) {
     if (local_stall) member.prober->RestartSilence(now);
     Duration interval =
@@ -84,6 +87,12 @@
   }
 }
 
+void Members::ForgetDeparted(Time now) {
+  std::erase_if(departed_, [now](const auto& departed) {
+    return now - departed.second >= kLostReplicaTimeout;
+  });
+}
+
 void Members::ProbeFastUntil(Time until) {
   probe_fast_until_ = std::max(probe_fast_until_, until);
 }
@@ -112,6 +121,10 @@
   bool is_current_primary = id == primary_ && answer.position.is_primary &&
                             answer.position.term == term_;
   bool follows = id != primary_ && !answer.position.is_primary;
+  if (is_current_primary && !first_primary_position_) {
+    first_primary_position_ =
+        Floor{answer.position.term, answer.position.received};
+  }
   if (is_current_primary || follows) member->history.Add({answer.asked, at});
   if (!is_current_primary && answer.position.is_primary)
     LogStalePrimary(member);
@@ -196,6 +209,12 @@
     one.refused = member.prober->refused();
     health.push_back(std::move(one));
   }
+  for (const auto& [id, when] : departed_) {
+    MemberHealth one;
+    one.id = id;
+    one.refused = true;
+    health.push_back(std::move(one));
+  }
   return health;
 }
 
--- a/endpoints/src/members.h
+++ b/endpoints/src/members.h
@@ -68,6 +68,11 @@
   /// Returns the furthest position received by any replica of the current
   /// term; nullopt without one.
   std::optional<Position> FurthestReceived() const;
+  /// Returns the first position that a recorded primary reported to this owner,
+  /// which covers all that earlier owners acknowledged.
+  const std::optional<Floor>& first_primary_position() const {
+    return first_primary_position_;
+  }
   /// Returns whether any replica answered a probe within kMaxAnswerAge.
   bool AnyReplicaAlive(Time now) const;
   std::vector<MemberHealth> Health(Time now) const;
@@ -76,6 +81,7 @@
 
  private:
   void OnAnswer(const EndpointId& id, const ProbeAnswer& answer);
+  void ForgetDeparted(Time now);
   void LogStalePrimary(Member* member);
   EndpointLogin LoginFor(const EndpointState& state) const;
 
@@ -85,6 +91,10 @@
   std::string user_;
   std::string database_;
   std::map<EndpointId, Member> members_;
+  /// Members that are no longer announced, by when that was noticed; for
+  /// kLostReplicaTimeout.
+  std::map<EndpointId, Time> departed_;
+  std::optional<Floor> first_primary_position_;
   EndpointId primary_;
   Term term_;
   Time probe_fast_until_;
--- a/endpoints/test/failover_executor-test.cc
+++ b/endpoints/test/failover_executor-test.cc
@@ -239,4 +239,39 @@
   BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
 }
 
+BOOST_AUTO_TEST_CASE(a_new_owner_waits_for_the_replica_with_the_only_copy) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[2]->received += 50;
+  f.endpoints[0]->Kill();
+  f.endpoints[2]->silent = true;
+  f.Start();
+  f.RunFor(Seconds(3));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+  f.endpoints[2]->silent = false;
+  f.endpoints[2]->ResetConnections();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_waits_for_a_replica_that_is_not_announced) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[2]->received += 50;
+  f.endpoints[0]->Kill();
+  f.endpoints[2]->silent = true;
+  f.Start();
+  f.RunFor(Millis(100));
+  f.view = std::make_shared<ClusterView>(*f.view);
+  EndpointState away = f.view->endpoints[f.Id(2)];
+  f.view->endpoints.erase(f.Id(2));
+  f.Publish();
+  f.RunFor(Seconds(3));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+  f.endpoints[2]->silent = false;
+  f.view = std::make_shared<ClusterView>(*f.view);
+  f.view->endpoints[f.Id(2)] = away;
+  f.Publish();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
+}
+
 }  // namespace cardamomchute
--- a/policy/include/cardamomchute/policy/failover.h
+++ b/policy/include/cardamomchute/policy/failover.h
@@ -58,6 +58,9 @@
   std::vector<MemberHealth> members;
   /// The furthest write that this owner acknowledged as replicated.
   Floor acknowledged;
+  /// A position that covers all that earlier owners acknowledged; nullopt if
+  /// this owner has not heard from the primary yet.
+  std::optional<Floor> inherited = Floor();
   /// Whether statements still run on the primary.
   bool primary_busy = false;
 };
--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -57,10 +57,30 @@
          !member.is_primary;
 }
 
+/// Whether no member but the primary may have more than `replica`: each has
+/// answered, none leads a later term, and none has received more. An earlier
+/// term may end at the primary only, so the replica must follow the current
+/// one.
+bool IsFurthestOfAll(const MemberHealth& replica,
+                     const FailoverInputs& inputs) {
+  if (replica.received.term < inputs.term) return false;
+  return std::all_of(inputs.members.begin(), inputs.members.end(),
+                     [&](const MemberHealth& member) {
+                       if (member.id == inputs.primary) return true;
+                       if (!Fresh(member, inputs.now)) return false;
+                       if (member.is_primary)
+                         return member.received.term <= inputs.term;
+                       return member.received <= replica.received;
+                     });
+}
+
 /// Whether the replica certainly has all that was acknowledged.
 bool HasAllAcknowledged(const MemberHealth& replica,
                         const FailoverInputs& inputs) {
-  return replica.received >= inputs.acknowledged;
+  if (replica.received < inputs.acknowledged) return false;
+  bool has_inherited =
+      inputs.inherited && replica.received >= *inputs.inherited;
+  return has_inherited || IsFurthestOfAll(replica, inputs);
 }
 
 /// Returns the reachable replica with the highest received position; among
--- a/policy/test/failover-test.cc
+++ b/policy/test/failover-test.cc
@@ -302,4 +302,38 @@
   BOOST_TEST(intent.endpoint == EndpointId("b"));
 }
 
+BOOST_AUTO_TEST_CASE(a_new_owner_hears_all_replicas_before_it_chooses) {
+  Machine m;
+  m.inputs.inherited.reset();
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.inputs.members[2].refused = false;
+  m.Pass(Millis(10));
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_does_not_trust_the_candidate_of_an_intent) {
+  Machine m;
+  m.inputs.inherited.reset();
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_of_an_earlier_term_is_not_known_to_have_all) {
+  Machine m;
+  m.inputs.inherited.reset();
+  m.inputs.term = Term(2);
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.inputs.inherited = Floor{Term(1), Position(95)};
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+}
+
 }  // namespace cardamomchute
