Give no group to a promotion that takes effect late

A suspected primary was replaced at once by a member that leads a later term. A promotion of an earlier failover whose order arrived late, at a replica that had followed the next primary meanwhile, makes such a member: it lacks what was acknowledged since, and got the group without anybody being asked. A replica of such a member counted as the furthest, since its term is higher.

Neither is a candidate now. Only after kLostReplicaTimeout, with no replica to be had, the member that leads is taken, under an intent.

a_promotion_that_takes_effect_late_gets_no_group, a_replica_of_a_claimant_is_no_ candidate and a_claimant_is_taken_once_nothing_else_comes_back fail before.

--- a/endpoints/test/failover_executor-test.cc
+++ b/endpoints/test/failover_executor-test.cc
@@ -274,4 +274,19 @@
   BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
 }
 
+BOOST_AUTO_TEST_CASE(a_promotion_that_takes_effect_late_loses_no_write) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[2]->primary = true;
+  f.endpoints[2]->term = 2;
+  f.endpoints[0]->replicas = {f.endpoints[1].get()};
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[0]->Kill();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary != f.Id(0); }));
+  BOOST_TEST(f.record().primary == f.Id(1));
+}
+
 }  // namespace cardamomchute
--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -77,6 +77,8 @@
 /// Whether the replica certainly has all that was acknowledged.
 bool HasAllAcknowledged(const MemberHealth& replica,
                         const FailoverInputs& inputs) {
+  // Where a later term began is not known.
+  if (replica.received.term > inputs.term) return false;
   if (replica.received < inputs.acknowledged) return false;
   bool has_inherited =
       inputs.inherited && replica.received >= *inputs.inherited;
@@ -106,8 +108,9 @@
   });
 }
 
-/// Returns the replica that is to replace the primary, or null while one that
-/// has all that was acknowledged is waited for.
+/// Returns the member that is to replace the primary, or null while a replica
+/// that has all that was acknowledged is waited for. A member that leads a
+/// later term may lack writes of the current one, so it is the last choice.
 const MemberHealth* ChooseSuccessor(FailoverState* state,
                                     const FailoverInputs& inputs) {
   const MemberHealth* best = BestCandidate(inputs);
@@ -117,7 +120,10 @@
   }
   if (!state->incomplete_since) state->incomplete_since = inputs.now;
   if (inputs.now - *state->incomplete_since < kLostReplicaTimeout) return {};
-  return Furthest(inputs, [](const MemberHealth&) { return true; });
+  best = Furthest(inputs, [&](const MemberHealth& member) {
+    return member.received.term <= inputs.term;
+  });
+  return best != nullptr ? best : SoleClaimant(inputs, inputs.term);
 }
 
 bool Suspected(const FailoverInputs& inputs) {
@@ -242,7 +248,6 @@
     state->incomplete_since.reset();
     return {};
   }
-  if (newer != nullptr) return ProposeNewPrimary(state, inputs, *newer);
   Enter(state, Phase::kQueryingObservers, inputs.now);
   return Act(state, Kind::kAskObservers, inputs.primary, inputs.term);
 }
--- a/policy/test/failover-test.cc
+++ b/policy/test/failover-test.cc
@@ -336,4 +336,43 @@
   BOOST_TEST(m.Next().endpoint == EndpointId("b"));
 }
 
+BOOST_AUTO_TEST_CASE(a_promotion_that_takes_effect_late_gets_no_group) {
+  Machine m;
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(2), Position(90)};
+  m.inputs.members[0].refused = true;
+  BOOST_TEST((m.Next().kind == Kind::kAskObservers));
+  m.Feed(Event::kObserved, false);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_claimant_is_taken_once_nothing_else_comes_back) {
+  Machine m;
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(2), Position(90)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kLostReplicaTimeout);
+  FailoverAction intent = m.Next();
+  BOOST_TEST(intent.endpoint == EndpointId("a"));
+  BOOST_TEST(intent.may_lose_writes);
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  m.Feed(Event::kIntended, true);
+  BOOST_TEST((m.Next().kind == Kind::kProposePrimary));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_of_a_claimant_is_no_candidate) {
+  Machine m;
+  m.inputs.members[1].received = Floor{Term(2), Position(80)};
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+}
+
 }  // namespace cardamomchute
