Count what a replica has replayed as what it has

pg_last_wal_receive_lsn says what was received by streaming since the server started: nothing or the start of a segment for a replica that was started again while its primary was gone. Such a replica looked empty, and another one that lacked acknowledged writes was promoted. The candidate's position is the furthest of both now. That is how PostgreSQL is known to work; no server here to try it with.

a_replica_that_was_started_again_has_what_it_replayed fails before.

--- a/endpoints/src/members.cc
+++ b/endpoints/src/members.cc
@@ -11,6 +11,12 @@
 /// of the members during it is not held against them.
 constexpr Duration kLocalStallThreshold = Millis(150);
 
+/// Returns the furthest position that the replica has on its disk. One that was
+/// started again has replayed more than it has received since.
+Position Stored(const pgwire::MemberPosition& member) {
+  return std::max(member.received, member.replayed);
+}
+
 }  // namespace
 
 Members::Members(boost::asio::io_context& io, GroupId group,
@@ -114,20 +120,19 @@
 void Members::OnAnswer(const EndpointId& id, const ProbeAnswer& answer) {
   Member* member = Find(id);
   if (member == nullptr) return;
-  member->last = answer.position;
+  const pgwire::MemberPosition& position = answer.position;
+  member->last = position;
   member->answered = Now();
   member->last_asked = answer.asked;
-  Floor at{answer.position.term, answer.position.replayed};
-  bool is_current_primary = id == primary_ && answer.position.is_primary &&
-                            answer.position.term == term_;
-  bool follows = id != primary_ && !answer.position.is_primary;
+  Floor at{position.term, position.replayed};
+  bool is_current_primary =
+      id == primary_ && position.is_primary && position.term == term_;
+  bool follows = id != primary_ && !position.is_primary;
   if (is_current_primary && !first_primary_position_) {
-    first_primary_position_ =
-        Floor{answer.position.term, answer.position.received};
+    first_primary_position_ = Floor{position.term, position.received};
   }
   if (is_current_primary || follows) member->history.Add({answer.asked, at});
-  if (!is_current_primary && answer.position.is_primary)
-    LogStalePrimary(member);
+  if (!is_current_primary && position.is_primary) LogStalePrimary(member);
   on_answer_(id);
 }
 
@@ -204,7 +209,7 @@
     one.leaving = member.state.leaving;
     one.answered = member.answered;
     one.is_primary = member.last.is_primary;
-    one.received = Floor{member.last.term, member.last.received};
+    one.received = Floor{member.last.term, Stored(member.last)};
     one.silent_since = member.prober->SilentSince(now);
     one.refused = member.prober->refused();
     health.push_back(std::move(one));
--- a/endpoints/test/failover_executor-test.cc
+++ b/endpoints/test/failover_executor-test.cc
@@ -289,4 +289,19 @@
   BOOST_TEST(f.record().primary == f.Id(1));
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_was_started_again_has_what_it_replayed) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[0]->replicas = {f.endpoints[1].get()};
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[0]->Kill();
+  f.endpoints[1]->received = 0;
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary != f.Id(0); },
+                           kLostReplicaTimeout));
+  BOOST_TEST(f.record().primary == f.Id(1));
+}
+
 }  // namespace cardamomchute
