Keep the term of a replica that receives from nobody

Without a WAL receiver, as when the primary has died, the probe takes a replica's timeline from its last restart point, which can be that of the term before. The replica that had received most then ranked below all that named the present term, and they were promoted without what it alone had. A replica that has followed a term and lost nothing since keeps that term.

a_replica_without_a_source_keeps_its_term fails before. That is how PostgreSQL is known to work; there is no server here to try it with.

--- a/endpoints/src/members.cc
+++ b/endpoints/src/members.cc
@@ -17,6 +17,14 @@
   return std::max(member.received, member.replayed);
 }
 
+/// Whether `now` names an earlier term only because the replica receives from
+/// nobody: it then reports the timeline of its last restart point.
+bool ReportsOldTimeline(const Member& member,
+                        const pgwire::MemberPosition& now) {
+  return member.answered && !member.last.is_primary && !now.is_primary &&
+         now.term < member.last.term && Stored(now) >= Stored(member.last);
+}
+
 }  // namespace
 
 Members::Members(boost::asio::io_context& io, GroupId group,
@@ -120,7 +128,8 @@
 void Members::OnAnswer(const EndpointId& id, const ProbeAnswer& answer) {
   Member* member = Find(id);
   if (member == nullptr) return;
-  const pgwire::MemberPosition& position = answer.position;
+  pgwire::MemberPosition position = answer.position;
+  if (ReportsOldTimeline(*member, position)) position.term = member->last.term;
   member->last = position;
   member->answered = Now();
   member->last_asked = answer.asked;
--- a/endpoints/test/failover_executor-test.cc
+++ b/endpoints/test/failover_executor-test.cc
@@ -304,4 +304,27 @@
   BOOST_TEST(f.record().primary == f.Id(1));
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_without_a_source_keeps_its_term) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.SetRecordedPrimary(0, 2);
+  for (std::unique_ptr<FakeEndpoint>& endpoint : f.endpoints) {
+    endpoint->term = 2;
+  }
+  FakeEndpoint* holder = f.endpoints[1].get();
+  f.endpoints[0]->replicas = {holder};
+  holder->before_answer = [holder](const std::string& sql) {
+    if (sql == pgwire::kPromoteSql) holder->term = 3;
+  };
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[0]->Kill();
+  holder->term = 1;
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary != f.Id(0); },
+                           kLostReplicaTimeout));
+  BOOST_TEST(f.record().primary == f.Id(1));
+}
+
 }  // namespace cardamomchute
