Fence a commit after which a batch opens another transaction

An answer was held until the primary had confirmed its term and a replica had received the commit only if no transaction was open at its end. A batch such as BEGIN; INSERT ...; COMMIT; BEGIN ends within a transaction: its commit was acknowledged without a replica, and by a primary that had been replaced. Any batch with a COMMIT among its results is held now. If that ends without a replica, the connection of the transaction that it opened is closed.

fence_commit_within_a_batch and a_commit_within_a_batch_waits_for_a_replica fail before. The fake endpoint runs the statements of a batch one by one.

--- a/endpoints/src/answers.cc
+++ b/endpoints/src/answers.cc
@@ -16,7 +16,9 @@
 /// Returns whether the primary must confirm its role and term before the answer
 /// is sent, because the answer may report a commit or belongs to an exact read.
 bool NeedsPosition(const Job& job) {
-  if (!job.by_primary || job.status != 'I') return false;
+  if (!job.by_primary) return false;
+  // A batch can commit and leave another transaction open.
+  if (job.status != 'I') return job.has_commit;
   if (job.failed && job.completions == 0) return false;
   if (job.plain_read()) return job.exact();
   return job.command_tag != "ROLLBACK";
@@ -41,6 +43,7 @@
     if (piece.size() > kHeaderBytes) {
       job->command_tag =
           piece.substr(kHeaderBytes, piece.size() - kHeaderBytes - 1);
+      if (job->command_tag == "COMMIT") job->has_commit = true;
     }
   }
   if (first && (type == 'C' || type == 'I')) job->buffering = true;
@@ -213,12 +216,7 @@
       .Field("fence", fence)
       .Field("endpoint", job->endpoint)
       .Field("term", job->term);
-  if (channel->pinned) {
-    PooledPtr connection = std::move(channel->pinned);
-    channel->pinned = nullptr;
-    working_.erase(connection->number);
-    pool_->Discard(connection);
-  }
+  DiscardPinned(channel);
   if (job->plain_read() && !job->answer_started) {
     channel->out.clear();
     Refuse(channel,
@@ -231,6 +229,15 @@
   Flush(channel);
 }
 
+/// Closes the connection of the channel's open transaction, if there is one.
+void Group::DiscardPinned(const ChannelPtr& channel) {
+  if (!channel->pinned) return;
+  PooledPtr connection = std::move(channel->pinned);
+  channel->pinned = nullptr;
+  working_.erase(connection->number);
+  pool_->Discard(connection);
+}
+
 void Group::EndSetupFailed(const ChannelPtr& channel, const JobPtr& job) {
   PooledPtr connection = std::move(job->connection);
   job->connection = nullptr;
--- a/endpoints/src/group.cc
+++ b/endpoints/src/group.cc
@@ -254,6 +254,7 @@
     Time end = std::max(job->deadline, job->settled_at + kReplicationTimeout);
     if (!no_replica_in_time && now < end) continue;
     replica_waits_.erase(channel);
+    DiscardPinned(channel);
     EndUnknown(channel, job, "no replica received it in time");
     Flush(channel);
   }
--- a/endpoints/src/group.h
+++ b/endpoints/src/group.h
@@ -104,6 +104,7 @@
   void Acknowledge(const ChannelPtr& channel, const JobPtr& job);
   void EndFenced(const ChannelPtr& channel, const JobPtr& job,
                  const std::string& fence);
+  void DiscardPinned(const ChannelPtr& channel);
   void EndSetupFailed(const ChannelPtr& channel, const JobPtr& job);
   void EndUnknown(const ChannelPtr& channel, const JobPtr& job,
                   const std::string& reason);
--- a/endpoints/src/job.h
+++ b/endpoints/src/job.h
@@ -52,6 +52,7 @@
   std::string buffered;    ///< held back until the answer is acknowledged
   size_t completions = 0;
   std::string command_tag;      ///< of the last CommandComplete
+  bool has_commit = false;      ///< one of its statements was a COMMIT
   bool answer_started = false;  ///< a part was sent to the caller
   bool failed = false;
   bool answered = false;
--- a/endpoints/test/fake_endpoint.h
+++ b/endpoints/test/fake_endpoint.h
@@ -269,6 +269,11 @@
     }
 
     std::string Execute(const std::string& sql) {
+      size_t end = sql.find("; ");
+      if (end != std::string::npos) {
+        std::string first = Execute(sql.substr(0, end));
+        return first + Execute(sql.substr(end + 2));
+      }
       endpoint->statements.push_back(sql);
       if (sql == pgwire::kPromoteSql) {
         endpoint->primary = true;
--- a/endpoints/test/fence-test.cc
+++ b/endpoints/test/fence-test.cc
@@ -176,4 +176,39 @@
   BOOST_TEST(f.endpoints[0]->Count("INSERT refused") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_commit_within_a_batch_waits_for_a_replica) {
+  OwnerFixture f(2);
+  f.spec().ack = AckMode::kReplicated;
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect();
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  caller->bytes.clear();
+  f.endpoints[0]->replicas.clear();
+  f.Send(*caller, "BEGIN; INSERT a; COMMIT; BEGIN");
+  BOOST_REQUIRE(
+      f.RunUntil([&] { return f.endpoints[0]->Count("COMMIT") == 1; }));
+  f.RunFor(Millis(100));
+  BOOST_TEST(caller->ends.size() == 1U);
+  BOOST_TEST(caller->bytes.empty());
+  f.endpoints[1]->received = f.endpoints[0]->received;
+  BOOST_REQUIRE(f.RunUntil([&] { return caller->ends.size() == 2; }));
+  BOOST_TEST((caller->outcome() == StatementOutcome::kAnswered));
+  BOOST_TEST(caller->last().transaction_status == 'T');
+}
+
+BOOST_AUTO_TEST_CASE(fence_commit_within_a_batch) {
+  OwnerFixture f;
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect();
+  f.endpoints[0]->hold_answers = true;
+  f.Send(*caller, "BEGIN; INSERT a; COMMIT; BEGIN");
+  BOOST_REQUIRE(
+      f.RunUntil([&] { return f.endpoints[0]->Count("COMMIT") == 1; }));
+  f.endpoints[0]->primary = false;
+  f.endpoints[0]->Release();
+  BOOST_REQUIRE(f.RunUntil([&] { return caller->ends.size() == 1; }));
+  BOOST_TEST(caller->last().sqlstate == "08007");
+  BOOST_TEST(caller->bytes.empty());
+}
+
 }  // namespace cardamomchute
