Abandon a primary again after it has recovered

A primary that was abandoned, and answered again before another was intended, stayed marked as abandoned: at the next failover its statements were not ended at once, and the end of its term was taken from the earlier time. The mark goes once the primary may be used again.

a_primary_that_recovered_is_abandoned_again fails before.

--- a/endpoints/src/group.cc
+++ b/endpoints/src/group.cc
@@ -155,8 +155,9 @@
 }
 
 void Group::CheckPrimaryInForce(Time now) {
-  if (primary_.empty() || primary_abandoned_) return;
-  if (failover_->MayUsePrimary(now)) return;
+  if (primary_.empty()) return;
+  if (failover_->MayUsePrimary(now)) primary_abandoned_ = false;
+  if (primary_abandoned_ || failover_->MayUsePrimary(now)) return;
   primary_abandoned_ = true;
   replaced_term_end_ = TermEnd();
   const Member* member = members_->Find(primary_);
--- a/endpoints/test/failover_executor-test.cc
+++ b/endpoints/test/failover_executor-test.cc
@@ -327,4 +327,26 @@
   BOOST_TEST(f.record().primary == f.Id(1));
 }
 
+BOOST_AUTO_TEST_CASE(a_primary_that_recovered_is_abandoned_again) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  f.endpoints[1]->Kill();  // so that no successor ends the failover
+  FakeEndpoint& primary = *f.endpoints[0];
+  for (std::string sql : {"INSERT first", "INSERT second"}) {
+    BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+    primary.hold_answers = true;
+    size_t ends = caller->ends.size();
+    f.Send(*caller, sql);
+    BOOST_REQUIRE(f.RunUntil([&] { return primary.Count(sql) == 1; }));
+    primary.silent = true;
+    BOOST_REQUIRE(f.RunUntil([&] { return caller->ends.size() > ends; }));
+    BOOST_TEST(caller->last().message ==
+               "the statement's outcome is unknown: primary is being replaced");
+    primary.hold_answers = false;
+    primary.silent = false;
+    primary.ResetConnections();
+  }
+}
+
 }  // namespace cardamomchute
