Keep a primary that answers again rather than lose writes

Once an intent was decided, the failover went on even if the primary answered again and no reachable replica had all that was acknowledged: after 15 s the furthest was taken, although the primary had everything. It is recorded again instead, at once if no promotion was ordered under the intent, otherwise after the 15 s. A proposal of a primary whose answer is lost is repeated until it is decided, since the other one must not be used if it can still be recorded.

a_primary_that_is_back_is_kept_if_writes_would_be_lost, a_primary_is_not_kept_ while_a_promotion_is_outstanding and a_kept_primary_is_not_used_before_that_is_ decided fail before.

--- a/policy/include/cardamomchute/policy/failover.h
+++ b/policy/include/cardamomchute/policy/failover.h
@@ -100,6 +100,8 @@
   bool busy = false;               ///< an action is in progress
   /// Since when no reachable replica certainly has all that was acknowledged.
   std::optional<Time> incomplete_since;
+  /// Whether a promotion under the present intent may be outstanding.
+  bool ordered = true;
   EndpointId candidate;
   Term new_term;
 };
--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -183,6 +183,7 @@
                              const MemberHealth* successor) {
   if (successor == nullptr) return {};
   state->candidate = successor->id;
+  if (!inputs.intent) state->ordered = false;
   Enter(state, Phase::kCommittingIntent, inputs.now);
   FailoverAction action =
       Act(state, Kind::kProposeIntent, successor->id, inputs.term);
@@ -191,6 +192,7 @@
 }
 
 FailoverAction Promote(FailoverState* state, const FailoverInputs& inputs) {
+  state->ordered = true;
   FailoverAction action =
       Act(state, Kind::kPromote, state->candidate, inputs.intent->old_term);
   action.may_lose_writes = state->incomplete_since.has_value();
@@ -206,6 +208,20 @@
   return Act(state, Kind::kProposePrimary, member.id, state->new_term);
 }
 
+/// Whether the primary is to go on rather than be replaced by a member that may
+/// lack writes: it is well, and no promotion was ordered under the intent, or
+/// the ordered one has not shown for kLostReplicaTimeout.
+bool ShouldKeepPrimary(const FailoverState& state,
+                       const FailoverInputs& inputs) {
+  const MemberHealth* primary = Find(inputs, inputs.primary);
+  bool well = primary != nullptr && Fresh(*primary, inputs.now) &&
+              primary->is_primary && primary->received.term == inputs.term &&
+              !primary->leaving && !Suspected(inputs);
+  if (!well || !state.incomplete_since) return false;
+  bool waited = inputs.now - *state.incomplete_since >= kLostReplicaTimeout;
+  return waited || !state.ordered;
+}
+
 /// Continues a committed intent, including one of a previous owner. Its
 /// candidate was chosen before the acknowledgements ended, so whether it has
 /// them is checked again.
@@ -224,9 +240,11 @@
   const MemberHealth* successor = ChooseSuccessor(state, inputs);
   bool promotable = reachable && !candidate->is_primary;
   bool complete = promotable && HasAllAcknowledged(*candidate, inputs);
-  if (complete || (promotable && successor == candidate)) {
-    return Promote(state, inputs);
+  if (complete) return Promote(state, inputs);
+  if (ShouldKeepPrimary(*state, inputs)) {
+    return ProposeNewPrimary(state, inputs, *Find(inputs, inputs.primary));
   }
+  if (promotable && successor == candidate) return Promote(state, inputs);
   // A candidate that is out of reach may already carry out its promotion.
   bool wait = !promotable && inputs.now - state->since < kCandidateTimeout;
   if (wait) return {};
@@ -252,6 +270,13 @@
   return Act(state, Kind::kAskObservers, inputs.primary, inputs.term);
 }
 
+/// Whether the proposed primary can no longer be recorded.
+bool IsDecidedOtherwise(const FailoverState& state,
+                        const FailoverInputs& inputs) {
+  if (inputs.term != state.new_term) return inputs.term > state.new_term;
+  return !inputs.primary.empty() && inputs.primary != state.candidate;
+}
+
 }  // namespace
 
 FailoverAction NextFailoverAction(FailoverState* state,
@@ -266,6 +291,7 @@
       if (!Suspected(inputs)) break;
       return ProposeIntent(state, inputs, ChooseSuccessor(state, inputs));
     case Phase::kCommittingPrimary:
+      if (IsDecidedOtherwise(*state, inputs)) break;
       return Act(state, Kind::kProposePrimary, state->candidate,
                  state->new_term);
     case Phase::kSteady:
@@ -305,8 +331,9 @@
       state->not_before = retry;
       return;
     case FailoverEvent::Kind::kRecorded:
-      if (!event.ok) state->not_before = retry;
-      Enter(state, Phase::kSteady, now);
+      if (event.ok) return Enter(state, Phase::kSteady, now);
+      // It may be recorded yet, so the old primary is not used meanwhile.
+      state->not_before = retry;
       return;
   }
 }
--- a/policy/test/failover-test.cc
+++ b/policy/test/failover-test.cc
@@ -278,6 +278,7 @@
   Machine m;
   m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
   m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
   m.inputs.members[2].refused = true;
   m.Next();
   m.Pass(kCandidateTimeout * 2);
@@ -375,4 +376,62 @@
   BOOST_TEST(m.Next().endpoint == EndpointId("b"));
 }
 
+BOOST_AUTO_TEST_CASE(a_primary_that_is_back_is_kept_if_writes_would_be_lost) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  m.Feed(Event::kIntended, true);
+  m.inputs.members[0].refused = false;
+  m.inputs.members[2].refused = true;
+  m.Pass(Millis(10));
+  FailoverAction keep = m.Next();
+  BOOST_TEST((keep.kind == Kind::kProposePrimary));
+  BOOST_TEST(keep.endpoint == EndpointId("p"));
+  BOOST_TEST(keep.term == Term(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_is_not_kept_while_a_promotion_is_outstanding) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  BOOST_TEST((m.Next().kind == Kind::kPromote));
+  m.Feed(Event::kPromoted, false);
+  m.inputs.members[2].refused = true;
+  m.Pass(kFailoverRetry);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kLostReplicaTimeout);
+  FailoverAction keep = m.Next();
+  BOOST_TEST((keep.kind == Kind::kProposePrimary));
+  BOOST_TEST(keep.endpoint == EndpointId("p"));
+}
+
+BOOST_AUTO_TEST_CASE(a_kept_primary_is_not_used_before_that_is_decided) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.Next();
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  m.Feed(Event::kIntended, true);
+  m.inputs.members[0].refused = false;
+  m.inputs.members[2].refused = true;
+  m.Pass(Millis(10));
+  BOOST_TEST(m.Next().endpoint == EndpointId("p"));
+  m.Feed(Event::kRecorded, false);
+  m.inputs.members[2].refused = false;
+  m.Pass(kFailoverRetry);
+  BOOST_TEST(!m.MayUse());
+  FailoverAction again = m.Next();
+  BOOST_TEST((again.kind == Kind::kProposePrimary));
+  BOOST_TEST(again.endpoint == EndpointId("p"));
+  m.inputs.intent.reset();
+  m.Feed(Event::kRecorded, true);
+  BOOST_TEST(m.MayUse());
+}
+
 }  // namespace cardamomchute
