--- a/endpoints/src/group.cc
+++ b/endpoints/src/group.cc
@@ -72,6 +72,7 @@
   pool_->SetSpec(spec_);
   members_->SetLogin(spec_.user, spec_.database);
   failover_->SetLogin(spec_.user, spec_.database);
+  failover_->SetReplicated(spec_.ack == AckMode::kReplicated);
 }
 
 void Group::SetRecord(const GroupState& record) {
@@ -154,8 +155,9 @@
 }
 
 void Group::CheckPrimaryInForce(Time now) {
-  if (primary_.empty() || primary_abandoned_) return;
-  if (failover_->MayUsePrimary(now)) return;
+  if (primary_.empty()) return;
+  if (failover_->MayUsePrimary(now)) primary_abandoned_ = false;
+  if (primary_abandoned_ || failover_->MayUsePrimary(now)) return;
   primary_abandoned_ = true;
   replaced_term_end_ = TermEnd();
   const Member* member = members_->Find(primary_);
@@ -253,6 +255,7 @@
     Time end = std::max(job->deadline, job->settled_at + kReplicationTimeout);
     if (!no_replica_in_time && now < end) continue;
     replica_waits_.erase(channel);
+    DiscardPinned(channel);
     EndUnknown(channel, job, "no replica received it in time");
     Flush(channel);
   }
--- a/endpoints/src/members.cc
+++ b/endpoints/src/members.cc
@@ -11,6 +11,20 @@
 /// of the members during it is not held against them.
 constexpr Duration kLocalStallThreshold = Millis(150);
 
+/// Returns the furthest position that the replica has on its disk. One that was
+/// started again has replayed more than it has received since.
+Position Stored(const pgwire::MemberPosition& member) {
+  return std::max(member.received, member.replayed);
+}
+
+/// Whether `now` names an earlier term only because the replica receives from
+/// nobody: it then reports the timeline of its last restart point.
+bool ReportsOldTimeline(const Member& member,
+                        const pgwire::MemberPosition& now) {
+  return member.answered && !member.last.is_primary && !now.is_primary &&
+         now.term < member.last.term && Stored(now) >= Stored(member.last);
+}
+
 }  // namespace
 
 Members::Members(boost::asio::io_context& io, GroupId group,
@@ -45,9 +59,11 @@
       continue;
     }
     member->second.prober->Stop();
+    departed_[member->first] = Now();
     member = members_.erase(member);
   }
   for (const auto& [id, state] : states) {
+    departed_.erase(id);
     Member& member = members_[id];
     member.state = state;
     if (member.prober) continue;
@@ -74,6 +90,7 @@
   bool local_stall =
       last_tick_ != Time() && now - last_tick_ > kLocalStallThreshold;
   last_tick_ = now;
+  ForgetDeparted(now);
   for (auto& [id, member] : members_) {
     if (local_stall) member.prober->RestartSilence(now);
     Duration interval =
@@ -84,6 +101,12 @@
   }
 }
 
+void Members::ForgetDeparted(Time now) {
+  std::erase_if(departed_, [now](const auto& departed) {
+    return now - departed.second >= kLostReplicaTimeout;
+  });
+}
+
 void Members::ProbeFastUntil(Time until) {
   probe_fast_until_ = std::max(probe_fast_until_, until);
 }
@@ -105,16 +128,20 @@
 void Members::OnAnswer(const EndpointId& id, const ProbeAnswer& answer) {
   Member* member = Find(id);
   if (member == nullptr) return;
-  member->last = answer.position;
+  pgwire::MemberPosition position = answer.position;
+  if (ReportsOldTimeline(*member, position)) position.term = member->last.term;
+  member->last = position;
   member->answered = Now();
   member->last_asked = answer.asked;
-  Floor at{answer.position.term, answer.position.replayed};
-  bool is_current_primary = id == primary_ && answer.position.is_primary &&
-                            answer.position.term == term_;
-  bool follows = id != primary_ && !answer.position.is_primary;
+  Floor at{position.term, position.replayed};
+  bool is_current_primary =
+      id == primary_ && position.is_primary && position.term == term_;
+  bool follows = id != primary_ && !position.is_primary;
+  if (is_current_primary && !first_primary_position_) {
+    first_primary_position_ = Floor{position.term, position.received};
+  }
   if (is_current_primary || follows) member->history.Add({answer.asked, at});
-  if (!is_current_primary && answer.position.is_primary)
-    LogStalePrimary(member);
+  if (!is_current_primary && position.is_primary) LogStalePrimary(member);
   on_answer_(id);
 }
 
@@ -191,11 +218,17 @@
     one.leaving = member.state.leaving;
     one.answered = member.answered;
     one.is_primary = member.last.is_primary;
-    one.received = Floor{member.last.term, member.last.received};
+    one.received = Floor{member.last.term, Stored(member.last)};
     one.silent_since = member.prober->SilentSince(now);
     one.refused = member.prober->refused();
     health.push_back(std::move(one));
   }
+  for (const auto& [id, when] : departed_) {
+    MemberHealth one;
+    one.id = id;
+    one.refused = true;
+    health.push_back(std::move(one));
+  }
   return health;
 }
 
--- a/endpoints/test/failover_executor-test.cc
+++ b/endpoints/test/failover_executor-test.cc
@@ -220,4 +220,133 @@
   BOOST_TEST(f.endpoints[0]->Count("INSERT second") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_without_the_acknowledged_write_is_not_promoted) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[0]->replicas = {f.endpoints[2].get()};
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[2]->silent = true;
+  f.RunFor(kCandidateFreshness + Millis(100));
+  f.endpoints[0]->Kill();
+  f.RunFor(Seconds(3));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+  BOOST_TEST(f.record().primary == f.Id(0));
+  f.endpoints[2]->silent = false;
+  f.endpoints[2]->ResetConnections();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_waits_for_the_replica_with_the_only_copy) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[2]->received += 50;
+  f.endpoints[0]->Kill();
+  f.endpoints[2]->silent = true;
+  f.Start();
+  f.RunFor(Seconds(3));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+  f.endpoints[2]->silent = false;
+  f.endpoints[2]->ResetConnections();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_waits_for_a_replica_that_is_not_announced) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[2]->received += 50;
+  f.endpoints[0]->Kill();
+  f.endpoints[2]->silent = true;
+  f.Start();
+  f.RunFor(Millis(100));
+  f.view = std::make_shared<ClusterView>(*f.view);
+  EndpointState away = f.view->endpoints[f.Id(2)];
+  f.view->endpoints.erase(f.Id(2));
+  f.Publish();
+  f.RunFor(Seconds(3));
+  BOOST_TEST(f.endpoints[1]->Count(std::string(pgwire::kPromoteSql)) == 0U);
+  f.endpoints[2]->silent = false;
+  f.view = std::make_shared<ClusterView>(*f.view);
+  f.view->endpoints[f.Id(2)] = away;
+  f.Publish();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary == f.Id(2); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_promotion_that_takes_effect_late_loses_no_write) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[2]->primary = true;
+  f.endpoints[2]->term = 2;
+  f.endpoints[0]->replicas = {f.endpoints[1].get()};
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[0]->Kill();
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary != f.Id(0); }));
+  BOOST_TEST(f.record().primary == f.Id(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_was_started_again_has_what_it_replayed) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.endpoints[0]->replicas = {f.endpoints[1].get()};
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[0]->Kill();
+  f.endpoints[1]->received = 0;
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary != f.Id(0); },
+                           kLostReplicaTimeout));
+  BOOST_TEST(f.record().primary == f.Id(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_without_a_source_keeps_its_term) {
+  OwnerFixture f(3);
+  f.spec().ack = AckMode::kReplicated;
+  f.SetRecordedPrimary(0, 2);
+  for (std::unique_ptr<FakeEndpoint>& endpoint : f.endpoints) {
+    endpoint->term = 2;
+  }
+  FakeEndpoint* holder = f.endpoints[1].get();
+  f.endpoints[0]->replicas = {holder};
+  holder->before_answer = [holder](const std::string& sql) {
+    if (sql == pgwire::kPromoteSql) holder->term = 3;
+  };
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  BOOST_REQUIRE(f.Run(*caller, "INSERT first"));
+  BOOST_REQUIRE((caller->outcome() == StatementOutcome::kAnswered));
+  f.endpoints[0]->Kill();
+  holder->term = 1;
+  BOOST_REQUIRE(f.RunUntil([&] { return f.record().primary != f.Id(0); },
+                           kLostReplicaTimeout));
+  BOOST_TEST(f.record().primary == f.Id(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_recovered_is_abandoned_again) {
+  OwnerFixture f(2);
+  f.Start();
+  std::unique_ptr<TestCaller> caller = f.Connect("s");
+  f.endpoints[1]->Kill();  // so that no successor ends the failover
+  FakeEndpoint& primary = *f.endpoints[0];
+  for (std::string sql : {"INSERT first", "INSERT second"}) {
+    BOOST_REQUIRE(WriteUntilAnswered(f, *caller));
+    primary.hold_answers = true;
+    size_t ends = caller->ends.size();
+    f.Send(*caller, sql);
+    BOOST_REQUIRE(f.RunUntil([&] { return primary.Count(sql) == 1; }));
+    primary.silent = true;
+    BOOST_REQUIRE(f.RunUntil([&] { return caller->ends.size() > ends; }));
+    BOOST_TEST(caller->last().message ==
+               "the statement's outcome is unknown: primary is being replaced");
+    primary.hold_answers = false;
+    primary.silent = false;
+    primary.ResetConnections();
+  }
+}
+
 }  // namespace cardamomchute
--- a/policy/src/failover.cc
+++ b/policy/src/failover.cc
@@ -1,6 +1,7 @@
 #include "cardamomchute/policy/failover.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace cardamomchute {
 namespace {
@@ -50,13 +51,48 @@
   return tied ? nullptr : best;
 }
 
-/// Returns the replica with the highest received position; among equals one
-/// that is not leaving.
-const MemberHealth* BestCandidate(const FailoverInputs& inputs) {
+bool IsReachableReplica(const MemberHealth& member,
+                        const FailoverInputs& inputs) {
+  return member.id != inputs.primary && Fresh(member, inputs.now) &&
+         !member.is_primary;
+}
+
+/// Whether no member but the primary may have more than `replica`: each has
+/// answered, none leads a later term, and none has received more. An earlier
+/// term may end at the primary only, so the replica must follow the current
+/// one.
+bool IsFurthestOfAll(const MemberHealth& replica,
+                     const FailoverInputs& inputs) {
+  if (replica.received.term < inputs.term) return false;
+  return std::all_of(inputs.members.begin(), inputs.members.end(),
+                     [&](const MemberHealth& member) {
+                       if (member.id == inputs.primary) return true;
+                       if (!Fresh(member, inputs.now)) return false;
+                       if (member.is_primary)
+                         return member.received.term <= inputs.term;
+                       return member.received <= replica.received;
+                     });
+}
+
+/// Whether the replica certainly has all that was acknowledged.
+bool HasAllAcknowledged(const MemberHealth& replica,
+                        const FailoverInputs& inputs) {
+  // Where a later term began is not known.
+  if (replica.received.term > inputs.term) return false;
+  if (replica.received < inputs.acknowledged) return false;
+  bool has_inherited =
+      inputs.inherited && replica.received >= *inputs.inherited;
+  return has_inherited || IsFurthestOfAll(replica, inputs);
+}
+
+/// Returns the reachable replica with the highest received position; among
+/// equals one that is not leaving.
+const MemberHealth* Furthest(
+    const FailoverInputs& inputs,
+    const std::function<bool(const MemberHealth&)>& counts) {
   const MemberHealth* best = nullptr;
   for (const MemberHealth& member : inputs.members) {
-    if (member.id == inputs.primary || !Fresh(member, inputs.now)) continue;
-    if (member.is_primary) continue;
+    if (!IsReachableReplica(member, inputs) || !counts(member)) continue;
     if (best == nullptr || best->received < member.received ||
         (best->received == member.received && best->leaving &&
          !member.leaving)) {
@@ -66,6 +102,30 @@
   return best;
 }
 
+const MemberHealth* BestCandidate(const FailoverInputs& inputs) {
+  return Furthest(inputs, [&](const MemberHealth& member) {
+    return HasAllAcknowledged(member, inputs);
+  });
+}
+
+/// Returns the member that is to replace the primary, or null while a replica
+/// that has all that was acknowledged is waited for. A member that leads a
+/// later term may lack writes of the current one, so it is the last choice.
+const MemberHealth* ChooseSuccessor(FailoverState* state,
+                                    const FailoverInputs& inputs) {
+  const MemberHealth* best = BestCandidate(inputs);
+  if (best != nullptr) {
+    state->incomplete_since.reset();
+    return best;
+  }
+  if (!state->incomplete_since) state->incomplete_since = inputs.now;
+  if (inputs.now - *state->incomplete_since < kLostReplicaTimeout) return {};
+  best = Furthest(inputs, [&](const MemberHealth& member) {
+    return member.received.term <= inputs.term;
+  });
+  return best != nullptr ? best : SoleClaimant(inputs, inputs.term);
+}
+
 bool Suspected(const FailoverInputs& inputs) {
   const MemberHealth* primary = Find(inputs, inputs.primary);
   if (primary == nullptr) return true;
@@ -79,7 +139,8 @@
 }
 
 /// Whether a leaving primary hands over: it is idle or kDrainTimeout has
-/// passed, and a replica that is not leaving has received everything.
+/// passed, and a replica that is not leaving has received everything that was
+/// acknowledged and that the primary reported.
 bool ReadyToHandOver(FailoverState* state, const FailoverInputs& inputs) {
   const MemberHealth* primary = Find(inputs, inputs.primary);
   if (primary == nullptr || !primary->leaving) {
@@ -118,13 +179,24 @@
   return Act(state, Kind::kProposePrimary, claimant->id, state->new_term);
 }
 
-FailoverAction ProposeIntent(FailoverState* state,
-                             const FailoverInputs& inputs) {
-  const MemberHealth* best = BestCandidate(inputs);
-  if (best == nullptr) return {};
-  state->candidate = best->id;
+FailoverAction ProposeIntent(FailoverState* state, const FailoverInputs& inputs,
+                             const MemberHealth* successor) {
+  if (successor == nullptr) return {};
+  state->candidate = successor->id;
+  if (!inputs.intent) state->ordered = false;
   Enter(state, Phase::kCommittingIntent, inputs.now);
-  return Act(state, Kind::kProposeIntent, best->id, inputs.term);
+  FailoverAction action =
+      Act(state, Kind::kProposeIntent, successor->id, inputs.term);
+  action.may_lose_writes = state->incomplete_since.has_value();
+  return action;
+}
+
+FailoverAction Promote(FailoverState* state, const FailoverInputs& inputs) {
+  state->ordered = true;
+  FailoverAction action =
+      Act(state, Kind::kPromote, state->candidate, inputs.intent->old_term);
+  action.may_lose_writes = state->incomplete_since.has_value();
+  return action;
 }
 
 FailoverAction ProposeNewPrimary(FailoverState* state,
@@ -136,7 +208,23 @@
   return Act(state, Kind::kProposePrimary, member.id, state->new_term);
 }
 
-/// Continues a committed intent, including one of a previous owner.
+/// Whether the primary is to go on rather than be replaced by a member that may
+/// lack writes: it is well, and no promotion was ordered under the intent, or
+/// the ordered one has not shown for kLostReplicaTimeout.
+bool ShouldKeepPrimary(const FailoverState& state,
+                       const FailoverInputs& inputs) {
+  const MemberHealth* primary = Find(inputs, inputs.primary);
+  bool well = primary != nullptr && Fresh(*primary, inputs.now) &&
+              primary->is_primary && primary->received.term == inputs.term &&
+              !primary->leaving && !Suspected(inputs);
+  if (!well || !state.incomplete_since) return false;
+  bool waited = inputs.now - *state.incomplete_since >= kLostReplicaTimeout;
+  return waited || !state.ordered;
+}
+
+/// Continues a committed intent, including one of a previous owner. Its
+/// candidate was chosen before the acknowledgements ended, so whether it has
+/// them is checked again.
 FailoverAction ContinueFailover(FailoverState* state,
                                 const FailoverInputs& inputs) {
   if (state->phase != Phase::kPromoting) {
@@ -149,12 +237,18 @@
       candidate->received.term > inputs.intent->old_term) {
     return ProposeNewPrimary(state, inputs, *candidate);
   }
-  if (reachable) {
-    return Act(state, Kind::kPromote, state->candidate,
-               inputs.intent->old_term);
+  const MemberHealth* successor = ChooseSuccessor(state, inputs);
+  bool promotable = reachable && !candidate->is_primary;
+  bool complete = promotable && HasAllAcknowledged(*candidate, inputs);
+  if (complete) return Promote(state, inputs);
+  if (ShouldKeepPrimary(*state, inputs)) {
+    return ProposeNewPrimary(state, inputs, *Find(inputs, inputs.primary));
   }
-  if (inputs.now - state->since < kCandidateTimeout) return {};
-  return ProposeIntent(state, inputs);
+  if (promotable && successor == candidate) return Promote(state, inputs);
+  // A candidate that is out of reach may already carry out its promotion.
+  bool wait = !promotable && inputs.now - state->since < kCandidateTimeout;
+  if (wait) return {};
+  return ProposeIntent(state, inputs, successor);
 }
 
 FailoverAction MonitorPrimary(FailoverState* state,
@@ -165,13 +259,24 @@
   const MemberHealth* newer = SoleClaimant(inputs, inputs.term);
   bool itself = newer != nullptr && newer->id == inputs.primary;
   if (itself) return ProposeNewPrimary(state, inputs, *newer);
-  if (ReadyToHandOver(state, inputs)) return ProposeIntent(state, inputs);
-  if (!Suspected(inputs)) return {};
-  if (newer != nullptr) return ProposeNewPrimary(state, inputs, *newer);
+  if (ReadyToHandOver(state, inputs)) {
+    return ProposeIntent(state, inputs, BestCandidate(inputs));
+  }
+  if (!Suspected(inputs)) {
+    state->incomplete_since.reset();
+    return {};
+  }
   Enter(state, Phase::kQueryingObservers, inputs.now);
   return Act(state, Kind::kAskObservers, inputs.primary, inputs.term);
 }
 
+/// Whether the proposed primary can no longer be recorded.
+bool IsDecidedOtherwise(const FailoverState& state,
+                        const FailoverInputs& inputs) {
+  if (inputs.term != state.new_term) return inputs.term > state.new_term;
+  return !inputs.primary.empty() && inputs.primary != state.candidate;
+}
+
 }  // namespace
 
 FailoverAction NextFailoverAction(FailoverState* state,
@@ -183,9 +288,10 @@
       return Act(state, Kind::kProposeRelease, inputs.primary, inputs.term);
     case Phase::kCommittingIntent:
       if (inputs.intent) return ContinueFailover(state, inputs);
-      if (Suspected(inputs)) return ProposeIntent(state, inputs);
-      break;
+      if (!Suspected(inputs)) break;
+      return ProposeIntent(state, inputs, ChooseSuccessor(state, inputs));
     case Phase::kCommittingPrimary:
+      if (IsDecidedOtherwise(*state, inputs)) break;
       return Act(state, Kind::kProposePrimary, state->candidate,
                  state->new_term);
     case Phase::kSteady:
@@ -225,8 +331,9 @@
       state->not_before = retry;
       return;
     case FailoverEvent::Kind::kRecorded:
-      if (!event.ok) state->not_before = retry;
-      Enter(state, Phase::kSteady, now);
+      if (event.ok) return Enter(state, Phase::kSteady, now);
+      // It may be recorded yet, so the old primary is not used meanwhile.
+      state->not_before = retry;
       return;
   }
 }
--- a/policy/test/failover-test.cc
+++ b/policy/test/failover-test.cc
@@ -195,4 +195,243 @@
   BOOST_TEST(intent.endpoint == EndpointId("b"));
 }
 
+BOOST_AUTO_TEST_CASE(no_replica_without_the_acknowledged_writes_is_promoted) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(Seconds(5));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  BOOST_TEST(!m.MayUse());
+  m.inputs.members[2].refused = false;
+  m.Pass(Millis(10));
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+  BOOST_TEST(!intent.may_lose_writes);
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_that_stays_away_does_not_block_the_group) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.Next();
+  m.Pass(kLostReplicaTimeout - Millis(1));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(Millis(1));
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("a"));
+  BOOST_TEST(intent.may_lose_writes);
+}
+
+BOOST_AUTO_TEST_CASE(the_wait_for_a_holder_begins_anew_with_each_failover) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.Next();
+  m.inputs.members[0].refused = false;
+  m.Pass(Millis(10));
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  BOOST_TEST(m.MayUse());
+  m.Pass(kLostReplicaTimeout);
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_primary_waits_for_the_acknowledged_writes) {
+  Machine m;
+  m.inputs.members[0].leaving = true;
+  m.inputs.members[0].received = Floor{Term(1), Position(90)};
+  // The primary's and a's answers are older than what b confirmed.
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Pass(kDrainTimeout);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.inputs.members[1].received = Floor{Term(1), Position(95)};
+  BOOST_TEST((m.Next().kind == Kind::kProposeIntent));
+}
+
+BOOST_AUTO_TEST_CASE(
+    writes_acknowledged_before_a_late_intent_change_its_candidate) {
+  Machine m;
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_candidate_is_not_replaced_by_one_that_lacks_writes) {
+  Machine m;
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Pass(kCandidateTimeout * 2);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kLostReplicaTimeout);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("a"));
+  BOOST_TEST(intent.may_lose_writes);
+}
+
+BOOST_AUTO_TEST_CASE(a_candidate_that_leads_a_rival_of_the_term_is_replaced) {
+  Machine m;
+  m.inputs.term = Term(2);
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(2)};
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(2), Position(90)};
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kCandidateTimeout);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_hears_all_replicas_before_it_chooses) {
+  Machine m;
+  m.inputs.inherited.reset();
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.inputs.members[2].refused = false;
+  m.Pass(Millis(10));
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_does_not_trust_the_candidate_of_an_intent) {
+  Machine m;
+  m.inputs.inherited.reset();
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_of_an_earlier_term_is_not_known_to_have_all) {
+  Machine m;
+  m.inputs.inherited.reset();
+  m.inputs.term = Term(2);
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.inputs.inherited = Floor{Term(1), Position(95)};
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_promotion_that_takes_effect_late_gets_no_group) {
+  Machine m;
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(2), Position(90)};
+  m.inputs.members[0].refused = true;
+  BOOST_TEST((m.Next().kind == Kind::kAskObservers));
+  m.Feed(Event::kObserved, false);
+  FailoverAction intent = m.Next();
+  BOOST_TEST((intent.kind == Kind::kProposeIntent));
+  BOOST_TEST(intent.endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_claimant_is_taken_once_nothing_else_comes_back) {
+  Machine m;
+  m.inputs.members[1].is_primary = true;
+  m.inputs.members[1].received = Floor{Term(2), Position(90)};
+  m.inputs.members[0].refused = true;
+  m.inputs.members[2].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kLostReplicaTimeout);
+  FailoverAction intent = m.Next();
+  BOOST_TEST(intent.endpoint == EndpointId("a"));
+  BOOST_TEST(intent.may_lose_writes);
+  m.inputs.intent = FailoverIntent{EndpointId("a"), Term(1)};
+  m.Feed(Event::kIntended, true);
+  BOOST_TEST((m.Next().kind == Kind::kProposePrimary));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_of_a_claimant_is_no_candidate) {
+  Machine m;
+  m.inputs.members[1].received = Floor{Term(2), Position(80)};
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_is_back_is_kept_if_writes_would_be_lost) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  BOOST_TEST(m.Next().endpoint == EndpointId("b"));
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  m.Feed(Event::kIntended, true);
+  m.inputs.members[0].refused = false;
+  m.inputs.members[2].refused = true;
+  m.Pass(Millis(10));
+  FailoverAction keep = m.Next();
+  BOOST_TEST((keep.kind == Kind::kProposePrimary));
+  BOOST_TEST(keep.endpoint == EndpointId("p"));
+  BOOST_TEST(keep.term == Term(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_is_not_kept_while_a_promotion_is_outstanding) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  BOOST_TEST((m.Next().kind == Kind::kPromote));
+  m.Feed(Event::kPromoted, false);
+  m.inputs.members[2].refused = true;
+  m.Pass(kFailoverRetry);
+  BOOST_TEST((m.Next().kind == Kind::kNone));
+  m.Pass(kLostReplicaTimeout);
+  FailoverAction keep = m.Next();
+  BOOST_TEST((keep.kind == Kind::kProposePrimary));
+  BOOST_TEST(keep.endpoint == EndpointId("p"));
+}
+
+BOOST_AUTO_TEST_CASE(a_kept_primary_is_not_used_before_that_is_decided) {
+  Machine m;
+  m.inputs.acknowledged = Floor{Term(1), Position(95)};
+  m.inputs.members[0].refused = true;
+  m.Next();
+  m.Feed(Event::kObserved, false);
+  m.Next();
+  m.inputs.intent = FailoverIntent{EndpointId("b"), Term(1)};
+  m.Feed(Event::kIntended, true);
+  m.inputs.members[0].refused = false;
+  m.inputs.members[2].refused = true;
+  m.Pass(Millis(10));
+  BOOST_TEST(m.Next().endpoint == EndpointId("p"));
+  m.Feed(Event::kRecorded, false);
+  m.inputs.members[2].refused = false;
+  m.Pass(kFailoverRetry);
+  BOOST_TEST(!m.MayUse());
+  FailoverAction again = m.Next();
+  BOOST_TEST((again.kind == Kind::kProposePrimary));
+  BOOST_TEST(again.endpoint == EndpointId("p"));
+  m.inputs.intent.reset();
+  m.Feed(Event::kRecorded, true);
+  BOOST_TEST(m.MayUse());
+}
+
 }  // namespace cardamomchute
