--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -226,6 +226,8 @@
   /// Groups whose recorded primary this leader knows to be the only one, and
   /// that no order can replace.
   std::set<GroupId> confirmed_;
+  /// As the last run of each group left it.
+  std::map<GroupId, GroupCopies> copies_;
   std::map<GroupId, Time> next_review_;
   std::map<GroupId, Time> primary_set_at_;
   std::map<GroupId, Time> next_lag_look_;
--- a/fleet/include/cardamomchute/fleet/primary_replacement.h
+++ b/fleet/include/cardamomchute/fleet/primary_replacement.h
@@ -53,7 +53,8 @@
   std::function<void()> on_confirmed;
   /// Records the endpoint as primary in the given term.
   std::function<void(const EndpointId&, Term)> adopt;
-  std::function<void()> done;
+  /// Gets what is known of the group's copies, for the next run.
+  std::function<void(const GroupCopies&)> done;
 };
 
 class PrimaryReplacement
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -148,6 +148,7 @@
   changes_ = 0;
   tokens_ = 0;
   confirmed_.clear();
+  copies_.clear();
   leases_.OnLeadershipChange(is_leader);
   if (is_leader) next_review_.clear();
 }
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -219,6 +219,7 @@
   params.run.lag_bound = lag_bound;
   params.run.confirmed = confirmed_.contains(group);
   params.run.orders = OrdersOf(group);
+  params.run.copies = copies_[group];
   if (!params_.fencing) params.run.first_order_at = leases_.FirstOrderAt();
   params.run.next_token = [this] {
     return host_->quorum().vote.term.value() * kTokensPerTerm + ++tokens_;
@@ -237,7 +238,8 @@
   params.adopt = [this, group](const EndpointId& endpoint, Term term) {
     SetPrimary(group, endpoint, term);
   };
-  params.done = [this, group, cause] {
+  params.done = [this, group, cause](const GroupCopies& copies) {
+    copies_[group] = copies;
     bool review = cause == PrimaryReplacementCause::kReview;
     next_review_[group] =
         Now() + (review ? kContradictionInterval : kReviewInterval);
--- a/fleet/src/primary_replacement.cc
+++ b/fleet/src/primary_replacement.cc
@@ -65,7 +65,7 @@
       .Field("took_ms", (Now() - run_.started).ms())
       .Field("orders", run_.orders.size());
   Stop();
-  params_.done();
+  params_.done(run_.copies);
 }
 
 /// Records that orders are void; nobody waits for that.
@@ -189,6 +189,12 @@
       .Field("former", run_.former.endpoint)
       .Field("log_end",
              run_.former.log_end ? ToString(*run_.former.log_end) : "unknown");
+  if (MayLackCommits(run_)) {
+    LogLine(LogLevel::kWarn, "commits_may_be_missing")
+        .Field("group", params_.group)
+        .Field("best", ToString(run_.chosen_received))
+        .Field("seen", ToString(run_.copies.seen));
+  }
   PromoteRequest request{params_.group, order.endpoint, params_.holder,
                          order.fence_token, send_before};
   Time sent = Now();
--- /dev/null
+++ b/fleet/test/lost_copies-test.cc
@@ -0,0 +1,93 @@
+/// Replicas that had the only copy of a commit beside the primary's, and are
+/// lost.
+#include <boost/test/unit_test.hpp>
+
+#include "replacement_fixture.h"
+
+namespace cardamomchute {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(lost_copies)
+
+/// The member's announcement that it is about to shut down.
+void AnnounceLeaving(Succession* s, size_t member) {
+  EndpointRecord leaving = s->group.Record(member, "a", ++s->sequence);
+  leaving.leaving = true;
+  BOOST_REQUIRE(
+      s->cluster.RunUntil([&] { return s->cluster.At(0)->Announce(leaving); }));
+}
+
+void ShutDown(Succession* s, size_t member) {
+  s->group.Kill(member);
+  s->group.member(member).cut_off = true;
+  BOOST_REQUIRE(s->cluster.RunUntil(
+      [&] { return s->cluster.At(0)->Leave(s->group.member(member).id); }));
+}
+
+void CrashPrimary(Succession* s) {
+  s->group.Kill(0);
+  s->group.member(0).is_primary = false;
+  s->Complain(EndpointProblem::kRefused);
+}
+
+/// The crashed primary's log at a new id.
+void ReturnPrimary(Succession* s) {
+  LineMember& returned = s->group.member(3);
+  returned.is_primary = true;
+  returned.received = s->group.member(0).received;
+  returned.cut_off = false;
+  EndpointRecord record = s->group.Record(3, "a", 1);
+  BOOST_REQUIRE(s->cluster.RunUntil([&] {
+    return s->cluster.At(0)->Announce(record) &&
+           s->cluster.At(0)->Leave(EndpointId("g1-0"));
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(
+    commits_that_only_a_replica_that_left_had_wait_for_the_primary) {
+  Succession s(4);
+  s.group.member(2).cut_off = true;
+  s.group.member(3).cut_off = true;
+  BOOST_REQUIRE(s.group.Commit("k", "kept"));
+  AnnounceLeaving(&s, 1);
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.group.member(2).silent = true;
+  CrashPrimary(&s);
+  s.cluster.RunUntil([] { return false; }, Seconds(1));
+  ShutDown(&s, 1);
+  s.cluster.RunUntil([] { return false; }, Millis(300));
+  s.group.member(2).silent = false;
+  s.cluster.RunUntil([] { return false; }, Seconds(2));
+  BOOST_TEST(s.cluster.orders.empty());
+  ReturnPrimary(&s);
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.LeadIs("g1-3"); }));
+  BOOST_TEST(s.group.CountOf("kept") == 1u);
+}
+
+/// It has left for good, and its log with it.
+BOOST_AUTO_TEST_CASE(a_primary_that_does_not_return_is_replaced_by_the_best) {
+  Succession s;
+  s.group.member(2).cut_off = true;
+  BOOST_REQUIRE(s.group.Commit("k", "lost"));
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  s.group.member(2).silent = true;
+  CrashPrimary(&s);
+  s.cluster.RunUntil([] { return false; }, Seconds(1));
+  ShutDown(&s, 1);
+  s.group.member(2).silent = false;
+  s.cluster.RunUntil([] { return false; }, Seconds(1));
+  BOOST_TEST(s.cluster.orders.empty());
+  BOOST_REQUIRE(s.cluster.At(0)->Leave(EndpointId("g1-0")));
+  s.cluster.RunUntil(
+      [&] {
+        s.Complain(EndpointProblem::kRefused);
+        return !s.cluster.orders.empty();
+      },
+      Seconds(10));
+  BOOST_TEST(!s.cluster.orders.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cardamomchute
--- a/policy/include/cardamomchute/policy/primary_replacement.h
+++ b/policy/include/cardamomchute/policy/primary_replacement.h
@@ -77,6 +77,10 @@
   std::optional<Floor> log_end;
   /// Whether to wait for a replica that has received the log up to `log_end`.
   bool wait_for_log_end = false;
+  /// It is a member of its group still: it may return with its log.
+  bool may_return = false;
+  /// Highest position that a replica is known to have received.
+  Floor seen;
 };
 
 struct ReplacementDecision {
@@ -95,7 +99,8 @@
 /// Returns the next step of replacing `former`. Its own status counts only once
 /// it has been demoted: if nobody else has its whole log and it is not leaving,
 /// it becomes primary again. `all` holds the status of every endpoint, `former`
-/// included.
+/// included. While its log is out of reach and may return, nobody is promoted
+/// who lacks what a replica had received.
 ReplacementDecision NextReplacementStep(const std::vector<MemberStatus>& all,
                                         const FormerPrimary& former);
 
--- a/policy/include/cardamomchute/policy/replacement_steps.h
+++ b/policy/include/cardamomchute/policy/replacement_steps.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "cardamomchute/base/time.h"
+#include "cardamomchute/policy/group_copies.h"
 #include "cardamomchute/policy/primary_replacement.h"
 #include "cardamomchute/policy/promotion_orders.h"
 
@@ -78,6 +79,7 @@
   PromotionOrders orders;
   /// Earlier leaders may send orders until then.
   Time first_order_at;
+  GroupCopies copies;  ///< kept from run to run
   /// Returns a token higher than all before.
   std::function<uint64_t()> next_token;
 
@@ -91,7 +93,8 @@
   Time leases_asked;  ///< when the end of the leases was asked for
   /// The primary did not answer: pause the others below this term next.
   std::optional<Term> pause_below;
-  EndpointId chosen;  ///< of the last order
+  EndpointId chosen;      ///< of the last order
+  Floor chosen_received;  ///< by `chosen`, when it was ordered to lead
   Time order_sent;
   bool awaits_effect = false;  ///< of the last order
   enum class After : uint8_t { kAskStatus, kPoll, kFinish };
@@ -113,6 +116,10 @@
                             Time now);
 ReplacementActions OnTimer(Replacement* run, Time now);
 
+/// Whether the endpoint that was ordered to lead may lack acknowledged commits:
+/// whoever has them is given up.
+bool MayLackCommits(const Replacement& run);
+
 /// Takes a relay's report on the primary into account: a check for another
 /// reason may then replace it, too.
 void Suspect(Replacement* run, PrimaryReplacementCause cause);
--- a/policy/src/primary_replacement.cc
+++ b/policy/src/primary_replacement.cc
@@ -105,16 +105,19 @@
   bool complete =
       former.log_end && best != nullptr && best->received >= *former.log_end;
   bool incomplete = former.log_end && !complete;
-  bool may_return = demoted != nullptr && !demoted->endpoint.leaving;
+  bool stays = demoted != nullptr && !demoted->endpoint.leaving;
   // Without the whole log, one that does not answer may have the most.
-  bool has_all = complete || (incomplete && may_return);
-  bool must_wait =
-      (incomplete && former.wait_for_log_end) || (!has_all && !all_answered);
+  bool has_all = complete || (incomplete && stays);
+  bool log_may_return = !complete && demoted == nullptr && former.may_return;
+  bool lacks_seen = best != nullptr && best->received < former.seen;
+  bool must_wait = (incomplete && former.wait_for_log_end) ||
+                   (!has_all && !all_answered) ||
+                   (log_may_return && lacks_seen);
   if (must_wait) {
     verdict.step = ReplacementStep::kWait;
     return verdict;
   }
-  if (incomplete && may_return) best = demoted;
+  if (incomplete && stays) best = demoted;
   if (best == nullptr) {
     verdict.step = ReplacementStep::kWait;
   } else if (!all_paused) {
--- a/policy/src/replacement_steps.cc
+++ b/policy/src/replacement_steps.cc
@@ -93,8 +93,10 @@
   bool same = id == run->recorded;
   // A primary that this leader confirmed earlier stays so: nobody else could
   // have replaced it.
-  if (!same || ConfirmsPrimary(answers, id))
+  if (!same || ConfirmsPrimary(answers, id)) {
+    NoteConfirmed(&run->copies);
     actions.push_back({.kind = Kind::kConfirm, .endpoint = id});
+  }
   actions.push_back(
       {.kind = Kind::kAdopt, .endpoint = id, .term = leader.term});
   if (!same) {
@@ -105,32 +107,46 @@
   return actions;
 }
 
+Floor ReceivedBy(const Answers& answers, const EndpointId& endpoint) {
+  for (const MemberStatus& answer : answers) {
+    if (answer.endpoint.id == endpoint) return answer.received;
+  }
+  return Floor();
+}
+
 ReplacementActions SendOrder(Replacement* run, const EndpointId& endpoint,
-                             Term newest, Time now) {
+                             const Answers& answers, Time now) {
   if (now < run->first_order_at) {
     return Wait(run, run->first_order_at - now, Replacement::After::kAskStatus);
   }
   run->chosen = endpoint;
+  run->chosen_received = ReceivedBy(answers, endpoint);
   run->order_sent = now;
   run->awaits_effect = true;
-  run->orders.push_back({endpoint, run->next_token(), newest});
+  run->orders.push_back({endpoint, run->next_token(), HighestTerm(answers)});
   ReplacementActions actions = {
       {.kind = Kind::kSendOrder, .endpoint = endpoint}};
   Append(&actions, Wait(run, kPollInterval, Replacement::After::kPoll));
   return actions;
 }
 
-ReplacementActions Decide(Replacement* run, const Answers& answers, Time now) {
+ReplacementDecision NextStep(Replacement* run, const Answers& answers,
+                             Time now) {
   run->former.wait_for_log_end =
       run->former.log_end && now < run->demoted_at + LogEndWait(run->cause);
-  ReplacementDecision decision = NextReplacementStep(answers, run->former);
+  run->former.seen = run->copies.seen;
+  return NextReplacementStep(answers, run->former);
+}
+
+ReplacementActions Decide(Replacement* run, const Answers& answers, Time now) {
+  ReplacementDecision decision = NextStep(run, answers, now);
   switch (decision.step) {
     case ReplacementStep::kPause:
       return {{.kind = Kind::kPause,
                .endpoint = run->former.endpoint,
                .term = decision.term}};
     case ReplacementStep::kPromote:
-      return SendOrder(run, decision.endpoint, HighestTerm(answers), now);
+      return SendOrder(run, decision.endpoint, answers, now);
     case ReplacementStep::kAdopt:
     case ReplacementStep::kKeep:
     case ReplacementStep::kWait:
@@ -140,9 +156,17 @@
               Replacement::After::kAskStatus);
 }
 
+bool IsMember(const Answers& answers, const EndpointId& endpoint) {
+  return std::any_of(answers.begin(), answers.end(),
+                     [&endpoint](const MemberStatus& answer) {
+                       return answer.endpoint.id == endpoint;
+                     });
+}
+
 /// The endpoint that was ordered to lead does.
 ReplacementActions Adopt(Replacement* run, Term term) {
   run->orders.clear();
+  NoteConfirmed(&run->copies);
   return {{.kind = Kind::kConfirm, .endpoint = run->chosen},
           {.kind = Kind::kAdopt, .endpoint = run->chosen, .term = term},
           {.kind = Kind::kFinish}};
@@ -184,6 +208,7 @@
 
 ReplacementActions OnStatus(Replacement* run, const Answers& answers,
                             Time now) {
+  NoteReceived(&run->copies, answers, run->former.endpoint);
   std::optional<MemberStatus> leader = FindHighestTermPrimary(answers);
   if (KeepsPrimary(*run, answers, leader)) return Keep(run, answers, *leader);
   bool current = leader && leader->term >= HighestTerm(answers);
@@ -202,11 +227,15 @@
     if (follows && answer.endpoint.id == run->former.endpoint)
       RecordDemoted(run, answer, now);
   }
+  run->former.may_return = IsMember(answers, run->former.endpoint);
   bool begun = run->demote_tried || !run->orders.empty() || AnyPaused(answers);
   if (!SuspectsPrimary(run->cause) && !leader && !begun)
     return Wait(run, kStatusInterval, Replacement::After::kFinish);
   if (!run->former.log_end && !run->leases_ended) {
-    run->pause_below = HighestTerm(answers).Next();
+    // The replicas go on receiving while the run waits for an endpoint.
+    ReplacementDecision decision = NextStep(run, answers, now);
+    if (decision.step != ReplacementStep::kWait)
+      run->pause_below = decision.term;
     run->leases_asked = now;
     return {{.kind = Kind::kEndLeases}};
   }
@@ -231,6 +260,7 @@
 }
 
 ReplacementActions OnPaused(Replacement* run, Answers answers, Time now) {
+  NoteReceived(&run->copies, answers, run->former.endpoint);
   // The former primary was not paused, as it may not respond.
   if (run->former_status.answered) answers.push_back(run->former_status);
   return Decide(run, answers, now);
@@ -281,6 +311,10 @@
   return {{.kind = Kind::kFinish}};
 }
 
+bool MayLackCommits(const Replacement& run) {
+  return run.chosen_received < run.copies.seen;
+}
+
 void Suspect(Replacement* run, PrimaryReplacementCause cause) {
   if (SuspectsPrimary(run->cause)) return;
   run->cause = cause;
