--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -189,7 +189,14 @@
   /// time until which no other leader sends orders.
   void RecordOrders(const GroupId& group, const PromotionOrders& orders,
                     std::function<void(Time)> done);
+  /// Whether the endpoint has been silent for so long that it is treated as
+  /// lost along with its log.
+  bool IsLostForGood(const EndpointId& endpoint, Time now) const;
   std::vector<EndpointRecord> CountedMembers(const GroupId& group) const;
+  /// Notes which replicas were lost. A run of the group does so itself.
+  void NoteCopies(const GroupId& group);
+  /// Whether a replica left not long ago, as a new leader can tell.
+  bool HasRecentLoss(const GroupId& group, Time now) const;
   /// Returns the layout in force, parsed when it is first needed: replaying
   /// the log applies many. Null if there is none.
   const Layout* ParsedLayout() const;
@@ -226,7 +233,7 @@
   /// Groups whose recorded primary this leader knows to be the only one, and
   /// that no order can replace.
   std::set<GroupId> confirmed_;
-  /// As the last run of each group left it.
+  /// Of the leader only. A run has its own until it ends.
   std::map<GroupId, GroupCopies> copies_;
   std::map<GroupId, Time> next_review_;
   std::map<GroupId, Time> primary_set_at_;
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -217,6 +217,7 @@
         .Field("born_ms", record.started_ms)
         .Field("sequence", record.sequence)
         .Field("first_hand", !from_member);
+    NoteCopies(record.group);
   }
 }
 
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -29,19 +29,52 @@
 
 }  // namespace
 
+bool FleetController::IsLostForGood(const EndpointId& endpoint,
+                                    Time now) const {
+  auto heard = directory_.endpoint_heard.find(endpoint);
+  return heard != directory_.endpoint_heard.end() &&
+         now - heard->second > kLostForGood;
+}
+
 std::vector<EndpointRecord> FleetController::CountedMembers(
     const GroupId& group) const {
   std::vector<EndpointRecord> counted;
   Time now = Now();
   for (const EndpointRecord* member : MembersOf(directory_, group)) {
-    auto heard = directory_.endpoint_heard.find(member->id);
-    bool lost = heard != directory_.endpoint_heard.end() &&
-                now - heard->second > kLostForGood;
-    if (!lost) counted.push_back(*member);
+    if (!IsLostForGood(member->id, now)) counted.push_back(*member);
   }
   return counted;
 }
 
+bool FleetController::HasRecentLoss(const GroupId& group, Time now) const {
+  auto ids = directory_.endpoints_of.find(group);
+  if (ids == directory_.endpoints_of.end()) return false;
+  auto primary = directory_.primaries.find(group);
+  return std::any_of(
+      ids->second.begin(), ids->second.end(), [&](const EndpointId& id) {
+        bool was_primary = primary != directory_.primaries.end() &&
+                           primary->second.endpoint == id;
+        return directory_.endpoints.at(id).gone && !was_primary &&
+               !IsLostForGood(id, now);
+      });
+}
+
+void FleetController::NoteCopies(const GroupId& group) {
+  if (!host_->leading() || successions_.contains(group)) return;
+  Time now = Now();
+  auto [known, is_new] = copies_.try_emplace(group);
+  if (is_new && HasRecentLoss(group, now)) known->second.lost_at = now;
+  std::vector<const EndpointRecord*> members = MembersOf(directory_, group);
+  std::erase_if(members, [this, now](const EndpointRecord* member) {
+    return IsLostForGood(member->id, now);
+  });
+  auto primary = directory_.primaries.find(group);
+  EndpointId recorded;
+  if (primary != directory_.primaries.end())
+    recorded = primary->second.endpoint;
+  NoteMembers(&known->second, members, recorded, now);
+}
+
 void FleetController::ReviewPrimaries(Time now) {
   const Layout* layout = ParsedLayout();
   if (layout == nullptr) return;
@@ -88,7 +121,10 @@
   // A lease is granted only on a primary that this leader has confirmed.
   if (!OrdersOf(group).empty())
     return StartSuccession(group, PrimaryReplacementCause::kReview);
-  if (!confirmed_.contains(group))
+  auto copies = copies_.find(group);
+  bool check_due =
+      copies != copies_.end() && IsCopyCheckDue(copies->second, now);
+  if (!confirmed_.contains(group) || check_due)
     StartSuccession(group, PrimaryReplacementCause::kConfirm);
 }
 
@@ -244,6 +280,7 @@
     next_review_[group] =
         Now() + (review ? kContradictionInterval : kReviewInterval);
     successions_.erase(group);
+    NoteCopies(group);
   };
   return params;
 }
@@ -252,6 +289,7 @@
                                       PrimaryReplacementCause cause,
                                       Duration lag_bound) {
   if (!KnowsOrders()) return;
+  NoteCopies(group);
   std::shared_ptr<PrimaryReplacement> run =
       std::make_shared<PrimaryReplacement>(
           ReplacementParams(group, cause, lag_bound));
--- a/fleet/test/lost_copies-test.cc
+++ b/fleet/test/lost_copies-test.cc
@@ -64,6 +64,42 @@
   BOOST_TEST(s.group.CountOf("kept") == 1u);
 }
 
+/// The control leader has not read the position of the replica that left.
+BOOST_AUTO_TEST_CASE(
+    commits_that_a_replica_took_along_before_the_crash_wait_for_the_primary) {
+  Succession s(4);
+  s.group.member(2).cut_off = true;
+  s.group.member(3).cut_off = true;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  BOOST_REQUIRE(s.group.Commit("k", "kept"));
+  ShutDown(&s, 1);
+  s.cluster.RunUntil(
+      [&] {
+        s.listener->RenewLease();
+        return false;
+      },
+      Seconds(3));
+  // The checks of the remaining replica do not keep leases from being renewed.
+  BOOST_TEST(s.listener->HasLease("g1-0"));
+  CrashPrimary(&s);
+  s.cluster.RunUntil([] { return false; }, Seconds(2));
+  BOOST_TEST(s.cluster.orders.empty());
+  ReturnPrimary(&s);
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.LeadIs("g1-3"); }));
+  BOOST_TEST(s.group.CountOf("kept") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_left_delays_nothing_once_another_has_all) {
+  Succession s;
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  BOOST_REQUIRE(s.group.Commit("k", "kept"));
+  ShutDown(&s, 1);
+  s.cluster.RunUntil([] { return false; }, Seconds(2));
+  CrashPrimary(&s);
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.LeadIs("g1-2"); }, Seconds(6)));
+  BOOST_TEST(s.group.CountOf("kept") == 1u);
+}
+
 /// It has left for good, and its log with it.
 BOOST_AUTO_TEST_CASE(a_primary_that_does_not_return_is_replaced_by_the_best) {
   Succession s;
--- a/policy/include/cardamomchute/policy/primary_replacement.h
+++ b/policy/include/cardamomchute/policy/primary_replacement.h
@@ -81,6 +81,8 @@
   bool may_return = false;
   /// Highest position that a replica is known to have received.
   Floor seen;
+  /// A replica was lost that may have had the only copy beside this log.
+  bool copy_lost = false;
 };
 
 struct ReplacementDecision {
@@ -100,7 +102,7 @@
 /// it has been demoted: if nobody else has its whole log and it is not leaving,
 /// it becomes primary again. `all` holds the status of every endpoint, `former`
 /// included. While its log is out of reach and may return, nobody is promoted
-/// who lacks what a replica had received.
+/// who may lack what a replica had received.
 ReplacementDecision NextReplacementStep(const std::vector<MemberStatus>& all,
                                         const FormerPrimary& former);
 
--- a/policy/include/cardamomchute/policy/replacement_steps.h
+++ b/policy/include/cardamomchute/policy/replacement_steps.h
@@ -14,8 +14,10 @@
 /// A successor has all that relays may have acknowledged: either the primary
 /// was demoted, and the successor has its whole log; or no relay has a lease on
 /// the primary any more and all counted replicas were paused after that, and
-/// the successor has received the most. No lease is granted until the orders
-/// are settled, so that it does not matter when an order is carried out.
+/// the successor has received the most. If a replica was lost that had more, or
+/// that another one had not caught up with, the run waits for the former
+/// primary, until that is given up. No lease is granted until the orders are
+/// settled, so that it does not matter when an order is carried out.
 #ifndef CARDAMOMCHUTE_POLICY_REPLACEMENT_STEPS_H_
 #define CARDAMOMCHUTE_POLICY_REPLACEMENT_STEPS_H_
 
@@ -84,6 +86,7 @@
   std::function<uint64_t()> next_token;
 
   Time started;
+  Time asked;                    ///< start of the last round of status queries
   bool suspected_again = false;  ///< a report came during the last query
   FormerPrimary former;          ///< whom this run replaces
   MemberStatus former_status;    ///< its answer as a replica
--- a/policy/src/primary_replacement.cc
+++ b/policy/src/primary_replacement.cc
@@ -109,10 +109,10 @@
   // Without the whole log, one that does not answer may have the most.
   bool has_all = complete || (incomplete && stays);
   bool log_may_return = !complete && demoted == nullptr && former.may_return;
-  bool lacks_seen = best != nullptr && best->received < former.seen;
+  bool may_lack =
+      former.copy_lost || (best != nullptr && best->received < former.seen);
   bool must_wait = (incomplete && former.wait_for_log_end) ||
-                   (!has_all && !all_answered) ||
-                   (log_may_return && lacks_seen);
+                   (!has_all && !all_answered) || (log_may_return && may_lack);
   if (must_wait) {
     verdict.step = ReplacementStep::kWait;
     return verdict;
--- a/policy/src/replacement_steps.cc
+++ b/policy/src/replacement_steps.cc
@@ -28,6 +28,7 @@
   run->awaits_effect = false;
   if (now - run->started > kReplacementTimeout)
     return {{.kind = Kind::kFinish}};
+  run->asked = now;
   return {{.kind = Kind::kAskStatus}};
 }
 
@@ -135,6 +136,7 @@
   run->former.wait_for_log_end =
       run->former.log_end && now < run->demoted_at + LogEndWait(run->cause);
   run->former.seen = run->copies.seen;
+  run->former.copy_lost = run->copies.lost_at.has_value();
   return NextReplacementStep(answers, run->former);
 }
 
@@ -163,6 +165,15 @@
                      });
 }
 
+void NoteAnswers(Replacement* run, const Answers& answers, Time now) {
+  std::vector<const EndpointRecord*> members;
+  for (const MemberStatus& answer : answers)
+    members.push_back(&answer.endpoint);
+  NoteMembers(&run->copies, members, run->recorded, now);
+  NoteReceived(&run->copies, answers, run->former.endpoint);
+  NoteCaughtUp(&run->copies, answers, run->asked);
+}
+
 /// The endpoint that was ordered to lead does.
 ReplacementActions Adopt(Replacement* run, Term term) {
   run->orders.clear();
@@ -208,7 +219,7 @@
 
 ReplacementActions OnStatus(Replacement* run, const Answers& answers,
                             Time now) {
-  NoteReceived(&run->copies, answers, run->former.endpoint);
+  NoteAnswers(run, answers, now);
   std::optional<MemberStatus> leader = FindHighestTermPrimary(answers);
   if (KeepsPrimary(*run, answers, leader)) return Keep(run, answers, *leader);
   bool current = leader && leader->term >= HighestTerm(answers);
@@ -312,7 +323,9 @@
 }
 
 bool MayLackCommits(const Replacement& run) {
-  return run.chosen_received < run.copies.seen;
+  const std::optional<Floor>& log_end = run.former.log_end;
+  if (log_end && run.chosen_received >= *log_end) return false;
+  return run.copies.lost_at || run.chosen_received < run.copies.seen;
 }
 
 void Suspect(Replacement* run, PrimaryReplacementCause cause) {
--- a/policy/test/replacement_steps-test.cc
+++ b/policy/test/replacement_steps-test.cc
@@ -38,6 +38,7 @@
   }
   Kind Look(const Answers& answers) {
     now = now + Millis(100);
+    state.asked = now;
     return OnStatus(&state, answers, now).front().kind;
   }
   /// Ends leases and pauses replicas if the run wants to.
@@ -125,6 +126,38 @@
   BOOST_TEST(run.state.chosen.value() == "p");
 }
 
+/// Guards against the loss of commits that only a replica had received whose
+/// position was never read.
+BOOST_AUTO_TEST_CASE(a_primary_is_waited_for_after_a_replica_was_lost) {
+  Run run;
+  run.state.copies.members[EndpointId("gone")] = 0;
+  BOOST_TEST(
+      (run.LookAndPause({Unreachable("p"), Replica("b", 54)}) == Kind::kWait));
+  BOOST_TEST((run.LookAndPause({Replica("b", 54)}) == Kind::kSendOrder));
+  BOOST_TEST(MayLackCommits(run.state));
+}
+
+BOOST_AUTO_TEST_CASE(a_loss_that_was_made_good_delays_nothing) {
+  Run run;
+  run.state.copies.lost_at = run.now;
+  run.state.copies.primary_at = Floor{Term(1), Position(50)};
+  BOOST_TEST((run.LookAndPause({Unreachable("p"), Replica("b", 54)}) ==
+              Kind::kSendOrder));
+  BOOST_TEST(!MayLackCommits(run.state));
+}
+
+BOOST_AUTO_TEST_CASE(a_demoted_primary_is_replaced_after_a_replica_was_lost) {
+  Run run;
+  run.state.copies.lost_at = run.now;
+  run.state.cause = PrimaryReplacementCause::kLeaving;
+  Answers all = {Answer("p", true, 54), Replica("b", 54)};
+  BOOST_TEST((run.Look(all) == Kind::kDemote));
+  OnDemoted(&run.state, Replica("p", 54), run.now);
+  all.front() = Unreachable("p");
+  BOOST_TEST((run.LookAndPause(all) == Kind::kSendOrder));
+  BOOST_TEST(run.state.chosen.value() == "b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
