--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -148,6 +148,7 @@
   changes_ = 0;
   tokens_ = 0;
   confirmed_.clear();
+  copies_.clear();
   leases_.OnLeadershipChange(is_leader);
   if (is_leader) next_review_.clear();
 }
@@ -216,6 +217,7 @@
         .Field("born_ms", record.started_ms)
         .Field("sequence", record.sequence)
         .Field("first_hand", !from_member);
+    NoteCopies(record.group);
   }
 }
 
--- a/policy/include/cardamomchute/policy/replacement_steps.h
+++ b/policy/include/cardamomchute/policy/replacement_steps.h
@@ -14,8 +14,10 @@
 /// A successor has all that relays may have acknowledged: either the primary
 /// was demoted, and the successor has its whole log; or no relay has a lease on
 /// the primary any more and all counted replicas were paused after that, and
-/// the successor has received the most. No lease is granted until the orders
-/// are settled, so that it does not matter when an order is carried out.
+/// the successor has received the most. If a replica was lost that had more, or
+/// that another one had not caught up with, the run waits for the former
+/// primary, until that is given up. No lease is granted until the orders are
+/// settled, so that it does not matter when an order is carried out.
 #ifndef CARDAMOMCHUTE_POLICY_REPLACEMENT_STEPS_H_
 #define CARDAMOMCHUTE_POLICY_REPLACEMENT_STEPS_H_
 
@@ -24,6 +26,7 @@
 #include <vector>
 
 #include "cardamomchute/base/time.h"
+#include "cardamomchute/policy/group_copies.h"
 #include "cardamomchute/policy/primary_replacement.h"
 #include "cardamomchute/policy/promotion_orders.h"
 
@@ -78,10 +81,12 @@
   PromotionOrders orders;
   /// Earlier leaders may send orders until then.
   Time first_order_at;
+  GroupCopies copies;  ///< kept from run to run
   /// Returns a token higher than all before.
   std::function<uint64_t()> next_token;
 
   Time started;
+  Time asked;                    ///< start of the last round of status queries
   bool suspected_again = false;  ///< a report came during the last query
   FormerPrimary former;          ///< whom this run replaces
   MemberStatus former_status;    ///< its answer as a replica
@@ -91,7 +96,8 @@
   Time leases_asked;  ///< when the end of the leases was asked for
   /// The primary did not answer: pause the others below this term next.
   std::optional<Term> pause_below;
-  EndpointId chosen;  ///< of the last order
+  EndpointId chosen;      ///< of the last order
+  Floor chosen_received;  ///< by `chosen`, when it was ordered to lead
   Time order_sent;
   bool awaits_effect = false;  ///< of the last order
   enum class After : uint8_t { kAskStatus, kPoll, kFinish };
@@ -113,6 +119,10 @@
                             Time now);
 ReplacementActions OnTimer(Replacement* run, Time now);
 
+/// Whether the endpoint that was ordered to lead may lack acknowledged commits:
+/// whoever has them is given up.
+bool MayLackCommits(const Replacement& run);
+
 /// Takes a relay's report on the primary into account: a check for another
 /// reason may then replace it, too.
 void Suspect(Replacement* run, PrimaryReplacementCause cause);
