Give an endpoint that leaves nothing new after 6 s, whatever its role

Cause: relays passed over a leaving replica, but used the recorded primary for as long as it was that.

Change: the directory keeps when this VM learned that an endpoint leaves. 6 s later (kLeavingUse) its pool refuses single statements and first ones of transactions as busy, also those that wait in the queue or for a position, and those whose setup is under way; statements of open transactions go on, and so do probes, which the platform does not count. A caller's relay refuses at once what only such endpoints could take; a read for which a replica stays waits for it as before. A restart under the same id begins anew.

Open: a relay that starts counts from its first directory, which does not say since when an endpoint leaves, so it may use one for 6 s more.

--- a/policy/include/cardamomchute/policy/directory.h
+++ b/policy/include/cardamomchute/policy/directory.h
@@ -86,6 +86,8 @@
   std::map<VmId, RelayRecord> relays;
   std::map<GroupId, PrimaryRecord> primaries;
   std::map<EndpointId, Time> endpoint_heard;
+  /// When this VM learned that an endpoint leaves.
+  std::map<EndpointId, Time> leaving_since;
   std::map<VmId, Time> relay_heard;
   /// Indexes of `endpoints`, kept by Merge and Expire. Announcements arrive by
   /// the thousand a second, and each asks who else has its address.
@@ -99,6 +101,10 @@
 /// announcements do not bring them back.
 inline constexpr Duration kRemovedRecordRetention = Seconds(60);
 
+/// An endpoint gets no new statements from a VM that has known for this long
+/// that it leaves. The platform allows 7 s from when control acknowledged it.
+inline constexpr Duration kLeavingUse = Seconds(6);
+
 /// An endpoint whose start lies further ahead of a VM's wall clock is refused.
 /// Wall clocks differ by seconds.
 inline constexpr Duration kMaxStartAhead = Seconds(3600);
@@ -124,6 +130,14 @@
 /// Returns all records, for a peer without any.
 DirectoryDelta FullDelta(const Directory& directory);
 
+/// Returns when this VM learned that the endpoint leaves; nullopt if it stays.
+std::optional<Time> LeavingSince(const Directory& directory,
+                                 const EndpointId& endpoint);
+
+/// Returns whether an endpoint gets no new statements any more, neither as a
+/// replica nor as the primary. Open transactions go on.
+bool Drained(const std::optional<Time>& leaving_since, Time now);
+
 /// Returns the endpoints of a group that are not gone. The pointers are valid
 /// until the directory changes.
 std::vector<const EndpointRecord*> MembersOf(const Directory& directory,
@@ -133,6 +147,12 @@
 const EndpointRecord* CurrentPrimary(const Directory& directory,
                                      const GroupId& group);
 
+/// Returns whether a statement that is to begin has nowhere to go: the group's
+/// primary is drained, and no other endpoint may take it. `at_primary`: it must
+/// run on the primary.
+bool OnlyDrainedLeft(const Directory& directory, const GroupId& group,
+                     bool at_primary, Time now);
+
 }  // namespace cardamomchute
 
 #endif  // CARDAMOMCHUTE_POLICY_DIRECTORY_H_
--- a/policy/src/directory.cc
+++ b/policy/src/directory.cc
@@ -40,7 +40,21 @@
   RemoveFromIndex(&directory.endpoints_of, record.group, record.id);
 }
 
+/// Must precede the replacement of what is known of the endpoint.
+void NoteLeaving(Directory& directory, const EndpointRecord& record, Time now) {
+  if (!record.leaving) {
+    directory.leaving_since.erase(record.id);
+    return;
+  }
+  auto known = directory.endpoints.find(record.id);
+  bool same_process = known != directory.endpoints.end() &&
+                      known->second.started_ms == record.started_ms;
+  if (!same_process) directory.leaving_since.erase(record.id);
+  directory.leaving_since.try_emplace(record.id, now);
+}
+
 void Store(Directory& directory, const EndpointRecord& record, Time now) {
+  NoteLeaving(directory, record, now);
   auto [known, is_new] = directory.endpoints.try_emplace(record.id, record);
   bool moved = !is_new && (known->second.address != record.address ||
                            known->second.group != record.group);
@@ -179,6 +193,7 @@
     Duration silent = now - directory.endpoint_heard[it->first];
     if (it->second.gone && silent > kRemovedRecordRetention) {
       directory.endpoint_heard.erase(it->first);
+      directory.leaving_since.erase(it->first);
       RemoveFromIndexes(directory, it->second);
       it = directory.endpoints.erase(it);
       continue;
@@ -198,6 +213,17 @@
   return whole;
 }
 
+std::optional<Time> LeavingSince(const Directory& directory,
+                                 const EndpointId& endpoint) {
+  auto since = directory.leaving_since.find(endpoint);
+  if (since == directory.leaving_since.end()) return std::nullopt;
+  return since->second;
+}
+
+bool Drained(const std::optional<Time>& leaving_since, Time now) {
+  return leaving_since && now - *leaving_since >= kLeavingUse;
+}
+
 std::vector<const EndpointRecord*> MembersOf(const Directory& directory,
                                              const GroupId& group) {
   std::vector<const EndpointRecord*> members;
@@ -219,4 +245,16 @@
   return endpoint->second.gone ? nullptr : &endpoint->second;
 }
 
+bool OnlyDrainedLeft(const Directory& directory, const GroupId& group,
+                     bool at_primary, Time now) {
+  const EndpointRecord* primary = CurrentPrimary(directory, group);
+  if (primary == nullptr || !Drained(LeavingSince(directory, primary->id), now))
+    return false;
+  if (at_primary) return true;
+  std::vector<const EndpointRecord*> members = MembersOf(directory, group);
+  return std::all_of(
+      members.begin(), members.end(),
+      [](const EndpointRecord* member) { return member->leaving; });
+}
+
 }  // namespace cardamomchute
--- a/policy/test/directory-test.cc
+++ b/policy/test/directory-test.cc
@@ -64,6 +64,58 @@
   BOOST_TEST(!directory.endpoints.at(EndpointId("e")).leaving);
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_drains_from_its_first_leaving_announcement) {
+  const EndpointId e("e");
+  Directory directory;
+  EndpointRecord record = Endpoint("e", 1, 10, 1);
+  auto announce = [&](bool leaving, Time now) {
+    ++record.sequence;
+    record.leaving = leaving;
+    Merge(directory, Of(record), now);
+  };
+  auto drained = [&](Time now) {
+    return Drained(LeavingSince(directory, e), now);
+  };
+  announce(false, Time(0));
+  BOOST_TEST(!drained(Time(0) + kLeavingUse));
+  announce(true, Time(100));
+  announce(true, Time(4000));
+  BOOST_TEST(!drained(Time(99) + kLeavingUse));
+  BOOST_TEST(drained(Time(100) + kLeavingUse));
+  // Another process under its id begins anew.
+  record.started_ms = 20;
+  announce(true, Time(7000));
+  BOOST_TEST(!drained(Time(6999) + kLeavingUse));
+  BOOST_TEST(drained(Time(7000) + kLeavingUse));
+  announce(false, Time(20000));
+  BOOST_TEST(!drained(Time(20000) + kLeavingUse));
+}
+
+BOOST_AUTO_TEST_CASE(a_drained_primary_leaves_nothing_but_reads_of_replicas) {
+  const GroupId g("g");
+  Directory directory;
+  EndpointRecord primary = Endpoint("e", 1, 10, 1);
+  primary.leaving = true;
+  EndpointRecord replica = Endpoint("r", 2, 10, 1);
+  Time drained = Time(100) + kLeavingUse;
+  BOOST_TEST(!OnlyDrainedLeft(directory, g, true, drained));
+  Merge(directory, Of(primary), Time(100));
+  Merge(directory, Of(replica), Time(100));
+  DirectoryDelta lead;
+  lead.primaries[g] = PrimaryRecord{primary.id, 1, 1};
+  Merge(directory, lead, Time(100));
+  BOOST_TEST(!OnlyDrainedLeft(directory, g, true, drained - Millis(1)));
+  BOOST_TEST(OnlyDrainedLeft(directory, g, true, drained));
+  BOOST_TEST(!OnlyDrainedLeft(directory, g, false, drained));
+  replica.sequence = 2;
+  replica.leaving = true;
+  Merge(directory, Of(replica), Time(200));
+  BOOST_TEST(OnlyDrainedLeft(directory, g, false, drained));
+  lead.primaries[g] = PrimaryRecord{replica.id, 1, 2};
+  Merge(directory, lead, Time(300));
+  BOOST_TEST(!OnlyDrainedLeft(directory, g, true, drained));
+}
+
 BOOST_AUTO_TEST_CASE(an_unchanged_announcement_yields_no_delta) {
   Directory directory;
   BOOST_TEST(!Merge(directory, Of(Endpoint("e", 1, 10, 1)), Time(0)).Empty());
--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -25,6 +25,7 @@
 #include <string>
 #include <vector>
 
+#include "cardamomchute/policy/directory.h"
 #include "cardamomchute/policy/position.h"
 #include "cardamomchute/policy/primary_lease.h"
 #include "cardamomchute/policy/queue.h"
@@ -51,11 +52,14 @@
 
 std::string_view ToString(EndpointProblem trouble);
 
+/// Why an endpoint that leaves gets no new statements.
+inline constexpr char kEndpointLeaves[] = "the endpoint is leaving";
+
 struct PoolBounds {
   uint32_t slots = 1;
   uint32_t connections = 2;
   bool is_primary = false;
-  bool leaving = false;
+  std::optional<Time> leaving_since;  ///< when this VM learned of it
 };
 
 struct EndpointPoolParams {
@@ -99,6 +103,8 @@
   /// the first reads after an idle period would require the replica to have the
   /// newest one.
   void KeepFloor();
+  /// Refuses what waits to begin once an endpoint that leaves gets nothing new.
+  void NoteDrain(Time now);
   /// Closes connections that a peak of load has left unused.
   void Trim(Time now);
   /// Closes all connections and fails all statements.
@@ -151,6 +157,7 @@
   };
   /// Selects transactions by their owner.
   using OwnerFilter = std::function<bool(const SessionKey&, uint64_t run)>;
+  using JobFilter = std::function<bool(const Job&)>;
 
   void Enqueue(std::unique_ptr<Job> job);
   bool PlanFloor(Job* job, Time now);
@@ -193,9 +200,14 @@
   std::vector<EndpointCommand> Setup(const HeldPtr& held);
   void SendSetup(const HeldPtr& held, std::vector<EndpointCommand> commands);
   void SendStatement(const HeldPtr& held);
+  void EndUnsent(const HeldPtr& held, TransactionState state,
+                 StatementStatus outcome, const std::string& detail);
   void EndAbandoned(const HeldPtr& held, TransactionState state);
   void AbandonWhere(const OwnerFilter& abandoned);
-  std::vector<std::unique_ptr<Job>> TakeWaiting(const OwnerFilter& abandoned);
+  std::vector<std::unique_ptr<Job>> TakeWaiting(const JobFilter& taken_if);
+  /// Whether the statement would be the endpoint's first of its transaction, or
+  /// a single one, after the endpoint has drained.
+  bool TooLateToBegin(const Job& job, Time now) const;
   void OnStatementAnswer(const HeldPtr& held, const CommandAnswer& answer);
   void NoteProof(const HeldPtr& held, const CommandAnswer& answer);
   void EndRun(const HeldPtr& held, TransactionState state);
@@ -232,6 +244,7 @@
   boost::asio::steady_timer timer_;
   bool ticking_ = false;
   bool closed_ = false;
+  bool drained_ = false;  ///< and what waited to begin has been refused
   std::vector<HeldPtr> held_;
   size_t connecting_ = 0;
   size_t running_ = 0;
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -91,6 +91,9 @@
   uint64_t NextRun() { return ++next_run_; }
   /// Returns the group's primary, through a VM that is expected to reach it.
   std::optional<Target> PrimaryOf(const GroupId& group) const;
+  /// Returns false if only endpoints that leave and get nothing new any more
+  /// could take a statement that is to begin.
+  bool MayBegin(const GroupId& group, bool at_primary) const;
   /// Returns a replica for a read that is not in `tried`, the primary if there
   /// is none, or nullopt if that was tried, too.
   std::optional<Target> ReaderOf(const GroupId& group, Duration max_staleness,
--- a/relay/src/endpoint_pool.cc
+++ b/relay/src/endpoint_pool.cc
@@ -50,20 +50,16 @@
   bounds_ = bounds;
   queue_.SetCapacity(Lane::kPrimary, bounds_.slots);
   queue_.SetCapacity(Lane::kOverdue, bounds_.slots);
+  NoteDrain(Now());
   if (!lost_primary_role) return;
   EndWithheld([](const SessionKey&, uint64_t) { return true; }, kReplaced);
-  for (auto it = jobs_.begin(); it != jobs_.end();) {
-    const RunRequest& request = it->second->request;
+  std::vector<std::unique_ptr<Job>> need_lead = TakeWaiting([](const Job& job) {
+    const RunRequest& request = job.request;
     bool needs_lead = request.at_primary || request.writes;
-    if (!needs_lead || InTransaction(request.step)) {
-      ++it;
-      continue;
-    }
-    queue_.Remove(it->first);
-    std::unique_ptr<Job> job = std::move(it->second);
-    it = jobs_.erase(it);
+    return needs_lead && !InTransaction(request.step);
+  });
+  for (std::unique_ptr<Job>& job : need_lead)
     Refuse(std::move(job), StatementStatus::kReadOnly, kReplaced);
-  }
 }
 
 void EndpointPool::Warm() {
@@ -89,6 +85,9 @@
   job->done = std::move(done);
   if (closed_)
     return Refuse(std::move(job), StatementStatus::kUnreachable, "pool closed");
+  NoteDrain(now);
+  if (TooLateToBegin(*job, now))
+    return Refuse(std::move(job), StatementStatus::kBusy, kEndpointLeaves);
   bool begins = !InTransaction(job->request.step);
   if (begins && Down(now)) {
     ScheduleTick();
@@ -160,7 +159,8 @@
 }
 
 bool EndpointPool::CanRun(const Job& job) {
-  if (AwaitsLease(job, Now())) return false;
+  Time now = Now();
+  if (AwaitsLease(job, now) || TooLateToBegin(job, now)) return false;
   if (!InTransaction(job.request.step)) return FindIdle(job) != nullptr;
   HeldPtr held = FindPinned(job.key, job.request.run);
   return !held || !held->busy;
@@ -309,6 +309,9 @@
     }
     if (!left->empty()) return;
     if (on->abandoned) return self->EndAbandoned(on, answer.state);
+    if (self->TooLateToBegin(*on->job, Now()))
+      return self->EndUnsent(on, answer.state, StatementStatus::kBusy,
+                             kEndpointLeaves);
     self->SendStatement(on);
   });
 }
--- a/relay/src/endpoint_pool_abandon.cc
+++ b/relay/src/endpoint_pool_abandon.cc
@@ -26,7 +26,10 @@
 /// A connection belongs to the owner of its job from the moment the job is
 /// assigned to it: the transaction may open before the endpoint says so.
 void EndpointPool::AbandonWhere(const OwnerFilter& abandoned) {
-  std::vector<std::unique_ptr<Job>> waiting = TakeWaiting(abandoned);
+  std::vector<std::unique_ptr<Job>> waiting =
+      TakeWaiting([&abandoned](const Job& job) {
+        return abandoned(job.key, job.request.run);
+      });
   std::vector<HeldPtr> all = held_;
   for (const HeldPtr& held : all) {
     if (held->job) {
@@ -41,12 +44,12 @@
     Refuse(std::move(job), StatementStatus::kAborted, kCallerGone);
 }
 
-/// Removes the abandoned statements that no connection has been assigned to.
+/// Removes the statements that no connection has been assigned to.
 std::vector<std::unique_ptr<EndpointPool::Job>> EndpointPool::TakeWaiting(
-    const OwnerFilter& abandoned) {
+    const JobFilter& taken_if) {
   std::vector<std::unique_ptr<Job>> taken;
   for (auto it = jobs_.begin(); it != jobs_.end();) {
-    if (!abandoned(it->second->key, it->second->request.run)) {
+    if (!taken_if(*it->second)) {
       ++it;
       continue;
     }
@@ -56,20 +59,26 @@
   }
   std::vector<std::unique_ptr<Job>> parked = std::exchange(parked_, {});
   for (std::unique_ptr<Job>& job : parked) {
-    bool is_taken = abandoned(job->key, job->request.run);
+    bool is_taken = taken_if(*job);
     (is_taken ? taken : parked_).push_back(std::move(job));
   }
   return taken;
 }
 
-/// The setup of an abandoned statement has been answered: the statement is not
-/// sent, and what the setup has opened is rolled back.
-void EndpointPool::EndAbandoned(const HeldPtr& held, TransactionState state) {
+/// The setup has been answered: the statement is not sent, and what the setup
+/// has opened is rolled back.
+void EndpointPool::EndUnsent(const HeldPtr& held, TransactionState state,
+                             StatementStatus outcome,
+                             const std::string& detail) {
   std::unique_ptr<Job> job = std::move(held->job);
   --running_;
   EndRun(held, state);
-  Refuse(std::move(job), StatementStatus::kAborted, kCallerGone);
+  Refuse(std::move(job), outcome, detail);
   Dispatch();
 }
 
+void EndpointPool::EndAbandoned(const HeldPtr& held, TransactionState state) {
+  EndUnsent(held, state, StatementStatus::kAborted, kCallerGone);
+}
+
 }  // namespace cardamomchute
--- a/relay/src/endpoint_pool_floors.cc
+++ b/relay/src/endpoint_pool_floors.cc
@@ -63,7 +63,7 @@
 void EndpointPool::KeepFloor() {
   std::optional<PositionSample> latest = history_.Latest();
   bool old = !latest || Now() - latest->asked > kFloorRefresh;
-  if (old && !bounds_.is_primary && !bounds_.leaving) AskFloor();
+  if (old && !bounds_.is_primary && !bounds_.leaving_since) AskFloor();
 }
 
 /// Records the position returned by a read-write transaction. Its success, and
--- a/relay/src/endpoint_pool_watch.cc
+++ b/relay/src/endpoint_pool_watch.cc
@@ -24,6 +24,7 @@
 
 void EndpointPool::Tick() {
   Time now = Now();
+  NoteDrain(now);
   ExpireWaiting(now);
   MoveLate(now);
   ExpireRunning(now);
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -264,7 +264,7 @@
       sharers = static_cast<uint32_t>(holders->second.active.size());
     uint32_t slots = std::max<uint32_t>(1, known.slots / sharers);
     if (sharers > 1) slots += kSlotsLent;
-    bounds.leaving = known.leaving;
+    bounds.leaving_since = LeavingSince(directory_, endpoint);
     auto primary = directory_.primaries.find(known.group);
     bounds.is_primary = primary != directory_.primaries.end() &&
                         primary->second.endpoint == endpoint;
@@ -364,8 +364,13 @@
     best_cost = cost;
   }
   if (best != nullptr) return HolderOf(*best);
-  if (primary == nullptr || tried.contains(primary->id)) return std::nullopt;
-  return HolderOf(*primary);
+  bool usable = primary != nullptr && !tried.contains(primary->id) &&
+                !Drained(LeavingSince(directory_, primary->id), now);
+  return usable ? HolderOf(*primary) : std::nullopt;
+}
+
+bool Relay::MayBegin(const GroupId& group, bool at_primary) const {
+  return !OnlyDrainedLeft(directory_, group, at_primary, Now());
 }
 
 void Relay::Run(const Target& target, RunRequest request, bool wrote,
@@ -455,6 +460,7 @@
   for (auto it = pools_.begin(); it != pools_.end();) {
     bool holds = SharersWith(it->first) > 0;
     if (holds) it->second->KeepFloor();
+    it->second->NoteDrain(now);
     it->second->Trim(now);
     bool unused = !holds && it->second->Idle() &&
                   now - it->second->last_used() > kPoolIdle;
--- a/relay/src/relayed_session.cc
+++ b/relay/src/relayed_session.cc
@@ -174,6 +174,8 @@
   bool replica_will_do = route_->rule != ReadRule::kPrimary &&
                          !attempt_->writes &&
                          (transaction_ == Transaction::kNone || read_only_);
+  if (!relay_->MayBegin(route_->group, !replica_will_do))
+    return RefuseAsLeaving();
   std::optional<Target> target =
       replica_will_do ? relay_->ReaderOf(route_->group, route_->max_staleness,
                                          attempt_->tried)
@@ -183,6 +185,13 @@
   TryLater();
 }
 
+/// No other endpoint can take the statement. What an earlier attempt ended with
+/// stands, as that may have had an effect.
+void RelayedSession::RefuseAsLeaving() {
+  if (attempt_->sends == 0) attempt_->last.detail = kEndpointLeaves;
+  Fail(attempt_->last.outcome, attempt_->last.detail);
+}
+
 void RelayedSession::TryLater() {
   Time now = Now();
   bool over =
--- a/relay/src/relayed_session.h
+++ b/relay/src/relayed_session.h
@@ -68,6 +68,7 @@
              std::optional<PreparedStatement> prepared, std::string text);
   void TrySend();
   void Send(const Target& target);
+  void RefuseAsLeaving();
   void TryLater();
   void OnAnswer(const Target& target, RunAnswer answer);
   bool MayRetry(const RunAnswer& answer, Time now) const;
--- a/relay/test/relay-test.cc
+++ b/relay/test/relay-test.cc
@@ -143,6 +143,42 @@
   LineGroup group;
 };
 
+/// A caller that waits for the answer to each of its lines.
+class LineCaller {
+ public:
+  explicit LineCaller(ServingRelay* serving)
+      : serving_(serving), socket_(serving->Connect(serving->callers)) {
+    Ask("CONNECT db x");
+  }
+
+  /// Returns all lines of the answer.
+  std::string Ask(const std::string& line) {
+    boost::asio::write(*socket_, boost::asio::buffer(line + "\r\n"));
+    std::string in;
+    bool ended = false;
+    std::function<void()> read = [&] {
+      boost::asio::async_read_until(
+          *socket_, boost::asio::dynamic_buffer(in), "\r\n",
+          [&](boost::system::error_code error, size_t) {
+            ended = error || (in.starts_with("READY") ||
+                              in.find("\nREADY") != std::string::npos);
+            if (!ended) read();
+          });
+    };
+    read();
+    serving_->RunUntil([&] { return ended; });
+    BOOST_REQUIRE(ended);
+    return in;
+  }
+  bool Done(const std::string& text) {
+    return Ask("QUERY q " + text).find("DONE") != std::string::npos;
+  }
+
+ private:
+  ServingRelay* serving_;
+  std::unique_ptr<tcp::socket> socket_;
+};
+
 BOOST_AUTO_TEST_SUITE(relay)
 
 BOOST_AUTO_TEST_CASE(a_relay_without_free_descriptors_does_not_spin) {
@@ -268,6 +304,39 @@
   other->Close();
 }
 
+/// Guards against new work for a primary more than 7 s after it said that it
+/// leaves, when nobody can replace it.
+BOOST_AUTO_TEST_CASE(a_leaving_primary_gets_nothing_new_after_its_drain) {
+  ServingRelay serving;
+  EndpointRecord leaving = serving.group.Record(0, "a", 2);
+  leaving.leaving = true;
+  serving.Know(leaving);
+  Time drained = Now() + kLeavingUse;
+  LineCaller caller(&serving);
+  LineCaller open(&serving);
+  BOOST_TEST(caller.Done("WRITE k v"));
+  serving.RunUntil([&] { return Now() > drained - Seconds(1); });
+  BOOST_TEST(caller.Done("READ k"));
+  BOOST_TEST(open.Done("BEGIN"));
+  BOOST_TEST(open.Done("WRITE k w"));
+  // Later announcements do not begin the time anew.
+  leaving.sequence = 3;
+  serving.Know(leaving);
+  serving.RunUntil([&] { return Now() > drained; });
+  size_t before = serving.group.member(0).runs.size();
+  Time asked = Now();
+  BOOST_TEST(caller.Ask("QUERY q WRITE k z").find("ERR BUSY") == 0u);
+  BOOST_TEST(caller.Ask("QUERY q READ k").find("ERR BUSY") == 0u);
+  BOOST_TEST(caller.Done("BEGIN"));
+  BOOST_TEST(caller.Ask("QUERY q READ k").find("ERR BUSY") == 0u);
+  // At once, not after the hold of 3.5 s of each.
+  BOOST_TEST((Now() - asked < Seconds(3)));
+  BOOST_TEST(serving.group.member(0).runs.size() == before);
+  BOOST_TEST(open.Done("READ k"));
+  BOOST_TEST(open.Done("COMMIT"));
+  BOOST_TEST(serving.group.CountOf("w") == 1u);
+}
+
 /// Guards against a caller that takes a relay over its memory: it sends on and
 /// reads no answers, and the relay kept them all.
 BOOST_AUTO_TEST_CASE(a_caller_that_reads_no_answers_is_not_read_either) {
