Take only a primary that this run demoted for one whose log has ended

Its record may be old, or it may have started again without its log: then leases were not ended and silent replicas not waited for. It is a replica like others now, and an end of the log is never lowered.

--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -136,9 +136,7 @@
   leases.until = LeaseEnd(*confirmed_at);
   for (const GroupId& group : confirmed_) {
     auto primary = directory_.primaries.find(group);
-    bool certain =
-        primary != directory_.primaries.end() && !successions_.contains(group);
-    if (certain) {
+    if (primary != directory_.primaries.end()) {
       leases.primaries[group] =
           LeasedPrimary{primary->second.endpoint, primary->second.term};
     }
--- a/fleet/src/primary_replacement.cc
+++ b/fleet/src/primary_replacement.cc
@@ -204,7 +204,7 @@
         .Field("group", self->params_.group)
         .Field("endpoint", order.endpoint)
         .Field("token", order.fence_token)
-        .Field("outcome", ToString(outcome))
+        .Field("outcome", static_cast<int>(outcome))
         .Field("took_ms", (Now() - sent).ms());
     if (self->stopped_) return;
     self->Perform(
--- a/policy/include/cardamomchute/policy/promotion_orders.h
+++ b/policy/include/cardamomchute/policy/promotion_orders.h
@@ -30,10 +30,17 @@
 using PromotionOrders = std::vector<PromotionOrder>;
 
 /// Whether none of `orders` can replace `primary`, which leads in `term`: they
-/// name it, or are void since a later one that names it has taken effect.
+/// name it, or are void since a later one that names it has taken effect. Those
+/// that name it change nothing while it leads, and are void once the platform
+/// has seen an order for its successor.
 bool Settled(const PromotionOrders& orders, const EndpointId& primary,
              Term term);
 
+/// Adds an order with a token higher than all before. Of several in a row for
+/// one endpoint only the first and the last are kept: they tell all that
+/// Settled asks, and the list stays short while the platform does not answer.
+void AddOrder(PromotionOrders* orders, const PromotionOrder& order);
+
 /// Removes an order that was not sent or was refused.
 void RemoveOrder(PromotionOrders* orders, uint64_t fence_token);
 
--- a/policy/include/cardamomchute/policy/replacement_steps.h
+++ b/policy/include/cardamomchute/policy/replacement_steps.h
@@ -66,8 +66,6 @@
   kNotSent    ///< dropped: too late to send it, or no connection
 };
 
-std::string_view ToString(PromoteOutcome outcome);
-
 /// What a run knows. The first part is set by its creator.
 struct Replacement {
   EndpointId recorded;  ///< recorded primary; empty if unknown
--- a/policy/src/promotion_orders.cc
+++ b/policy/src/promotion_orders.cc
@@ -20,6 +20,15 @@
          term > first->above;
 }
 
+void AddOrder(PromotionOrders* orders, const PromotionOrder& order) {
+  size_t count = orders->size();
+  bool repeats = count >= 2 &&
+                 (*orders)[count - 1].endpoint == order.endpoint &&
+                 (*orders)[count - 2].endpoint == order.endpoint;
+  if (repeats) orders->pop_back();
+  orders->push_back(order);
+}
+
 void RemoveOrder(PromotionOrders* orders, uint64_t fence_token) {
   std::erase_if(*orders, [fence_token](const PromotionOrder& order) {
     return order.fence_token == fence_token;
--- a/policy/src/replacement_steps.cc
+++ b/policy/src/replacement_steps.cc
@@ -41,10 +41,13 @@
   to->insert(to->end(), from.begin(), from.end());
 }
 
+/// An answer with less than an earlier one is that of an endpoint that has lost
+/// its log.
 void RecordDemoted(Replacement* run, const MemberStatus& answer, Time now) {
   if (!run->former.log_end) run->demoted_at = now;
-  run->former.log_end = answer.received;
-  run->former_status = answer;
+  bool lost_log = run->former.log_end && answer.received < *run->former.log_end;
+  run->former_status = lost_log ? MemberStatus() : answer;
+  if (!lost_log) run->former.log_end = answer.received;
 }
 
 /// The run replaces `endpoint`, and has not begun to.
@@ -54,6 +57,18 @@
   run->demote_tried = false;
 }
 
+/// Notes the former primary's answer as a replica. Unless this run demoted it,
+/// it is a replica like others: an earlier leader may have demoted it, but its
+/// record may also be old, or it may have started again without its log.
+void NoteFormer(Replacement* run, const Answers& answers, Time now) {
+  for (const MemberStatus& answer : answers) {
+    bool follows = answer.answered && !answer.is_primary;
+    if (!follows || answer.endpoint.id != run->former.endpoint) continue;
+    if (run->demote_tried) return RecordDemoted(run, answer, now);
+    return SetFormer(run, EndpointId());
+  }
+}
+
 /// Demotes endpoints that still act as primary of an older term, and resumes
 /// paused replicas.
 ReplacementActions KeepActions(const Answers& answers,
@@ -88,16 +103,18 @@
   const EndpointId& id = leader.endpoint.id;
   if (MayUseRecorded(*run, answers, id)) return {{.kind = Kind::kEndLeases}};
   ReplacementActions actions = KeepActions(answers, leader);
-  run->orders.clear();
-  run->leases_ended = false;
-  SetFormer(run, id);
   bool same = id == run->recorded;
-  // A primary that this leader confirmed earlier stays so: nobody else could
-  // have replaced it.
-  if (!same || ConfirmsPrimary(answers, id)) {
+  // A primary that this leader confirmed earlier stays so: without an order,
+  // nobody else could have replaced it.
+  bool known = run->confirmed && run->orders.empty();
+  if (!same || known || ConfirmsPrimary(answers, id)) {
+    run->confirmed = true;
     NoteConfirmed(&run->copies);
     actions.push_back({.kind = Kind::kConfirm, .endpoint = id});
   }
+  run->orders.clear();
+  run->leases_ended = false;
+  SetFormer(run, id);
   actions.push_back(
       {.kind = Kind::kAdopt, .endpoint = id, .term = leader.term});
   if (!same) {
@@ -124,7 +141,7 @@
   run->chosen_received = ReceivedBy(answers, endpoint);
   run->order_sent = now;
   run->awaits_effect = true;
-  run->orders.push_back({endpoint, run->next_token(), HighestTerm(answers)});
+  AddOrder(&run->orders, {endpoint, run->next_token(), HighestTerm(answers)});
   ReplacementActions actions = {
       {.kind = Kind::kSendOrder, .endpoint = endpoint}};
   Append(&actions, Wait(run, kPollInterval, Replacement::After::kPoll));
@@ -197,20 +214,6 @@
 
 }  // namespace
 
-std::string_view ToString(PromoteOutcome outcome) {
-  switch (outcome) {
-    case PromoteOutcome::kAccepted:
-      return "accepted";
-    case PromoteOutcome::kRefused:
-      return "refused";
-    case PromoteOutcome::kUnknown:
-      return "unknown";
-    case PromoteOutcome::kNotSent:
-      return "not_sent";
-  }
-  return "unknown";
-}
-
 ReplacementActions StartReplacement(Replacement* run, Time now) {
   run->started = now;
   run->former.endpoint = run->recorded;
@@ -232,12 +235,7 @@
              .endpoint = leader->endpoint.id,
              .term = HighestTerm(answers).Next()}};
   }
-  // It may have been demoted by an earlier control leader.
-  for (const MemberStatus& answer : answers) {
-    bool follows = answer.answered && !answer.is_primary;
-    if (follows && answer.endpoint.id == run->former.endpoint)
-      RecordDemoted(run, answer, now);
-  }
+  NoteFormer(run, answers, now);
   run->former.may_return = IsMember(answers, run->former.endpoint);
   bool begun = run->demote_tried || !run->orders.empty() || AnyPaused(answers);
   if (!SuspectsPrimary(run->cause) && !leader && !begun)
--- a/policy/test/promotion_orders-test.cc
+++ b/policy/test/promotion_orders-test.cc
@@ -43,6 +43,16 @@
   BOOST_TEST((orders == PromotionOrders{{kB, 7, Term(1)}}));
 }
 
+BOOST_AUTO_TEST_CASE(orders_in_a_row_for_one_endpoint_are_kept_short) {
+  PromotionOrders orders = {{kC, 6, Term(1)}};
+  for (uint64_t token = 7; token < 99; ++token)
+    AddOrder(&orders, {kB, token, Term(1)});
+  BOOST_TEST(orders.size() == 3u);
+  BOOST_TEST(Settled(orders, kB, Term(2)));
+  BOOST_TEST(!Settled(orders, kC, Term(2)));
+  BOOST_TEST(orders.back().fence_token == 98u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
