Repeat a pause that has no effect below a higher term

Cause: the primary of term 2 was gone before anybody received from it. The endpoints that were left knew of term 1 only, so the steward paused them below 2, which has no effect once the platform has seen 2.

--- a/policy/include/cardamomchute/policy/replacement_steps.h
+++ b/policy/include/cardamomchute/policy/replacement_steps.h
@@ -91,6 +91,10 @@
   Time leases_asked;  ///< when the end of the leases was asked for
   /// The primary did not answer: pause the others below this term next.
   std::optional<Term> pause_below;
+  Term paused_below;  ///< asked for by the last pause
+  /// Lower pauses have no effect: the platform has seen a higher term than the
+  /// endpoints that are left.
+  Term lowest_pause;
   EndpointId chosen;  ///< of the last order
   Time order_sent;
   bool awaits_effect = false;  ///< of the last order
--- a/policy/src/replacement_steps.cc
+++ b/policy/src/replacement_steps.cc
@@ -120,15 +120,20 @@
   return actions;
 }
 
+ReplacementActions Pause(Replacement* run, Term below) {
+  run->paused_below = std::max(below, run->lowest_pause);
+  return {{.kind = Kind::kPause,
+           .endpoint = run->former.endpoint,
+           .term = run->paused_below}};
+}
+
 ReplacementActions Decide(Replacement* run, const Answers& answers, Time now) {
   run->former.wait_for_log_end =
       run->former.log_end && now < run->demoted_at + LogEndWait(run->cause);
   ReplacementDecision decision = NextReplacementStep(answers, run->former);
   switch (decision.step) {
     case ReplacementStep::kPause:
-      return {{.kind = Kind::kPause,
-               .endpoint = run->former.endpoint,
-               .term = decision.term}};
+      return Pause(run, decision.term);
     case ReplacementStep::kPromote:
       return SendOrder(run, decision.endpoint, HighestTerm(answers), now);
     case ReplacementStep::kAdopt:
@@ -226,11 +231,19 @@
   // After a longer wait the primary may be back.
   bool recent = below && now - run->leases_asked < kStatusInterval;
   if (!recent) return AskStatus(run, now);
-  return {
-      {.kind = Kind::kPause, .endpoint = run->former.endpoint, .term = *below}};
+  return Pause(run, *below);
 }
 
 ReplacementActions OnPaused(Replacement* run, Answers answers, Time now) {
+  bool in_vain = std::any_of(answers.begin(), answers.end(),
+                             [run](const MemberStatus& answer) {
+                               return answer.answered && !answer.is_primary &&
+                                      answer.paused_below < run->paused_below;
+                             });
+  if (in_vain) {
+    run->lowest_pause = run->paused_below.Next();
+    return Wait(run, kPollInterval, Replacement::After::kAskStatus);
+  }
   // The former primary was not paused, as it may not respond.
   if (run->former_status.answered) answers.push_back(run->former_status);
   return Decide(run, answers, now);
