--- a/fleet/test/lost_copies-test.cc
+++ b/fleet/test/lost_copies-test.cc
@@ -24,22 +24,24 @@
       [&] { return s->cluster.At(0)->Leave(s->group.member(member).id); }));
 }
 
-void CrashPrimary(Succession* s) {
-  s->group.Kill(0);
-  s->group.member(0).is_primary = false;
-  s->Complain(EndpointProblem::kRefused);
+void CrashPrimary(Succession* s, size_t member = 0) {
+  s->group.Kill(member);
+  s->group.member(member).is_primary = false;
+  s->listener->link->Report(GroupId("g1"), s->group.member(member).id,
+                            EndpointProblem::kRefused);
 }
 
 /// The crashed primary's log at a new id.
-void ReturnPrimary(Succession* s) {
+void ReturnPrimary(Succession* s, size_t member = 0) {
   LineMember& returned = s->group.member(3);
   returned.is_primary = true;
-  returned.received = s->group.member(0).received;
+  returned.term = s->group.member(member).term;
+  returned.received = s->group.member(member).received;
   returned.cut_off = false;
   EndpointRecord record = s->group.Record(3, "a", 1);
   BOOST_REQUIRE(s->cluster.RunUntil([&] {
     return s->cluster.At(0)->Announce(record) &&
-           s->cluster.At(0)->Leave(EndpointId("g1-0"));
+           s->cluster.At(0)->Leave(s->group.member(member).id);
   }));
 }
 
@@ -100,6 +102,25 @@
   BOOST_TEST(s.group.CountOf("kept") == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(commits_that_only_the_new_primary_has_wait_for_it) {
+  Succession s(4);
+  s.group.member(2).cut_off = true;
+  s.group.member(3).cut_off = true;
+  BOOST_REQUIRE(s.group.Commit("k", "kept"));
+  s.cluster.RunUntil([] { return false; }, Millis(500));
+  CrashPrimary(&s);
+  BOOST_REQUIRE(s.cluster.At(0)->Leave(EndpointId("g1-0")));
+  BOOST_REQUIRE(s.cluster.RunUntil([&] { return s.LeadIs("g1-1"); }));
+  s.cluster.RunUntil([] { return false; }, Seconds(2));
+  size_t sent = s.cluster.orders.size();
+  CrashPrimary(&s, 1);
+  s.cluster.RunUntil([] { return false; }, Seconds(2));
+  BOOST_TEST(s.cluster.orders.size() == sent);
+  ReturnPrimary(&s, 1);
+  BOOST_TEST(s.cluster.RunUntil([&] { return s.LeadIs("g1-3"); }));
+  BOOST_TEST(s.group.CountOf("kept") == 1u);
+}
+
 /// It has left for good, and its log with it.
 BOOST_AUTO_TEST_CASE(a_primary_that_does_not_return_is_replaced_by_the_best) {
   Succession s;
--- a/policy/include/cardamomchute/policy/group_copies.h
+++ b/policy/include/cardamomchute/policy/group_copies.h
@@ -51,6 +51,10 @@
 /// Notes that a primary with all commits was confirmed.
 void NoteConfirmed(GroupCopies* copies);
 
+/// Notes that another primary with all commits was confirmed: the group has a
+/// replica less, which may have had the only copy.
+void NoteReplaced(GroupCopies* copies, Time now);
+
 }  // namespace cardamomchute
 
 #endif  // CARDAMOMCHUTE_POLICY_GROUP_COPIES_H_
--- a/policy/src/group_copies.cc
+++ b/policy/src/group_copies.cc
@@ -11,6 +11,11 @@
 /// Interval of the queries after kCatchUpTime.
 constexpr Duration kLateCheckInterval = Seconds(5);
 
+void NoteLoss(GroupCopies* copies, Time now) {
+  copies->lost_at = now;
+  copies->primary_at.reset();
+}
+
 }  // namespace
 
 void NoteReceived(GroupCopies* copies, const std::vector<MemberStatus>& answers,
@@ -36,9 +41,7 @@
                             return !same && earlier.first != primary;
                           });
   copies->members = std::move(present);
-  if (!lost) return;
-  copies->lost_at = now;
-  copies->primary_at.reset();
+  if (lost) NoteLoss(copies, now);
 }
 
 void NoteCaughtUp(GroupCopies* copies, const std::vector<MemberStatus>& answers,
@@ -67,4 +70,9 @@
 
 void NoteConfirmed(GroupCopies* copies) { copies->seen = Floor(); }
 
+void NoteReplaced(GroupCopies* copies, Time now) {
+  NoteConfirmed(copies);
+  NoteLoss(copies, now);
+}
+
 }  // namespace cardamomchute
--- a/policy/src/replacement_steps.cc
+++ b/policy/src/replacement_steps.cc
@@ -98,8 +98,14 @@
                       });
 }
 
+/// Notes that `id` is the only primary, and has all commits.
+void NotePrimary(Replacement* run, const EndpointId& id, Time now) {
+  if (id == run->recorded) return NoteConfirmed(&run->copies);
+  NoteReplaced(&run->copies, now);
+}
+
 ReplacementActions Keep(Replacement* run, const Answers& answers,
-                        const MemberStatus& leader) {
+                        const MemberStatus& leader, Time now) {
   const EndpointId& id = leader.endpoint.id;
   if (MayUseRecorded(*run, answers, id)) return {{.kind = Kind::kEndLeases}};
   ReplacementActions actions = KeepActions(answers, leader);
@@ -109,7 +115,7 @@
   bool known = run->confirmed && run->orders.empty();
   if (!same || known || ConfirmsPrimary(answers, id)) {
     run->confirmed = true;
-    NoteConfirmed(&run->copies);
+    NotePrimary(run, id, now);
     actions.push_back({.kind = Kind::kConfirm, .endpoint = id});
   }
   run->orders.clear();
@@ -192,9 +198,9 @@
 }
 
 /// The endpoint that was ordered to lead does.
-ReplacementActions Adopt(Replacement* run, Term term) {
+ReplacementActions Adopt(Replacement* run, Term term, Time now) {
   run->orders.clear();
-  NoteConfirmed(&run->copies);
+  NotePrimary(run, run->chosen, now);
   return {{.kind = Kind::kConfirm, .endpoint = run->chosen},
           {.kind = Kind::kAdopt, .endpoint = run->chosen, .term = term},
           {.kind = Kind::kFinish}};
@@ -224,7 +230,8 @@
                             Time now) {
   NoteAnswers(run, answers, now);
   std::optional<MemberStatus> leader = FindHighestTermPrimary(answers);
-  if (KeepsPrimary(*run, answers, leader)) return Keep(run, answers, *leader);
+  if (KeepsPrimary(*run, answers, leader))
+    return Keep(run, answers, *leader, now);
   bool current = leader && leader->term >= HighestTerm(answers);
   if (current && leader->endpoint.id != run->former.endpoint)
     SetFormer(run, leader->endpoint.id);
@@ -299,7 +306,7 @@
   if (!run->awaits_effect) return {};
   if (!answer.answered) return AskStatusLater(run);
   if (answer.is_primary && Settled(run->orders, run->chosen, answer.term))
-    return Adopt(run, answer.term);
+    return Adopt(run, answer.term, now);
   bool no_effect = now - run->order_sent > kOrderRetryDelay;
   if (answer.is_primary || no_effect) return AskStatus(run, now);
   return Wait(run, kPollInterval, Replacement::After::kPoll);
--- a/policy/test/replacement_steps-test.cc
+++ b/policy/test/replacement_steps-test.cc
@@ -28,10 +28,10 @@
   return answer;
 }
 
-/// A run that replaces "p", which relays cannot reach.
+/// A run that replaces a primary which relays cannot reach.
 struct Run {
-  Run() {
-    state.recorded = EndpointId("p");
+  explicit Run(const std::string& primary = "p") {
+    state.recorded = EndpointId(primary);
     state.cause = PrimaryReplacementCause::kTrouble;
     state.next_token = [this] { return ++tokens; };
     StartReplacement(&state, now);
@@ -158,6 +158,23 @@
   BOOST_TEST(run.state.chosen.value() == "b");
 }
 
+/// Guards against the loss of commits that only the replica had that has just
+/// become the primary.
+BOOST_AUTO_TEST_CASE(a_replica_that_is_promoted_is_a_copy_less) {
+  Run run;
+  Answers all = {Replica("a", 9), Replica("b", 7)};
+  BOOST_TEST((run.LookAndPause(all) == Kind::kSendOrder));
+  MemberStatus promoted = Answer("a", true, 9);
+  promoted.term = Term(2);
+  run.now = run.now + Millis(100);
+  BOOST_TEST(
+      (OnPolled(&run.state, promoted, run.now).front().kind == Kind::kConfirm));
+  Run next("a");
+  next.state.copies = run.state.copies;
+  BOOST_TEST(
+      (next.LookAndPause({Unreachable("a"), Replica("b", 7)}) == Kind::kWait));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
