--- a/policy/test/model_world.h
+++ b/policy/test/model_world.h
@@ -66,32 +66,6 @@
   /// Writes each event and what follows from it to `out`.
   void TellTo(std::ostream* out) { told_ = out; }
 
-  /// Worlds of the same key go on alike.
-  std::string Key() const {
-    std::ostringstream key;
-    for (const Member& m : group_.members) {
-      key << m.id << m.listed << m.alive << m.gone << m.leaving << m.is_primary
-          << m.cut << m.cut_peer << m.term << '.' << m.paused_below << '.';
-      for (const Entry& entry : m.log)
-        key << entry.term << ':' << entry.commit << ',';
-      key << ';';
-    }
-    for (const Commit& c : group_.commits)
-      key << c.primary << c.term << c.received << c.acknowledged;
-    for (const Lease& lease : group_.leases)
-      key << 'L' << lease.endpoint << lease.term << lease.granter;
-    for (const SentOrder& sent : group_.orders) {
-      AddKey(key, sent.order);
-      key << sent.answered;
-    }
-    for (const LateCommand& late : group_.late)
-      key << 'c' << int(late.kind) << late.endpoint << late.term;
-    key << '|' << group_.seen_token << '.' << group_.primary_slot << '.'
-        << group_.newest_term;
-    for (const Leader& leader : leaders_) AddKey(key, leader);
-    return key.str();
-  }
-
  private:
   static constexpr std::string_view kNames[] = {
       "commit received by",
@@ -549,44 +523,6 @@
            << kCommands[static_cast<size_t>(leaders_[event.leader].command)];
     return text.str();
   }
-  static void AddKey(std::ostream& key, const PromotionOrder& order) {
-    key << 'o' << order.endpoint << order.fence_token << '^' << order.above;
-  }
-  static void AddKey(std::ostream& key, const MemberStatus& status) {
-    key << status.endpoint.id << status.endpoint.leaving << status.answered
-        << status.is_primary << status.term << status.received.term << '/'
-        << status.received.position << status.paused_below << ';';
-  }
-  /// Whether the time since then exceeds each of the waits of a run.
-  void AddAge(std::ostream& key, Time since) const {
-    int64_t age = (now_ - since).ms();
-    key << (age > 300) << (age > 1500) << (age > 2000) << (age > 6000) << ',';
-  }
-  void AddKey(std::ostream& key, const Leader& leader) const {
-    key << '#' << leader.number << '.' << leader.tokens << leader.may_grant
-        << leader.confirmed << leader.recorded << leader.recorded_term
-        << leader.heard_before << leader.heard_before_term;
-    for (const PromotionOrder& order : leader.orders) AddKey(key, order);
-    if (leader.to_send) AddKey(key << 's', *leader.to_send);
-    if (!leader.running) return;
-    const Replacement& run = leader.run;
-    key << 'r' << int(run.cause) << run.recorded << run.confirmed;
-    for (const PromotionOrder& order : run.orders) AddKey(key, order);
-    AddAge(key, run.started);
-    AddAge(key, run.order_sent);
-    AddAge(key, run.demoted_at);
-    key << run.former.endpoint << run.former.log_end.has_value();
-    if (run.former.log_end) key << ToString(*run.former.log_end);
-    AddKey(key, run.former_status);
-    key << run.demote_tried << run.leases_ended << run.chosen
-        << run.awaits_effect << int(run.after_wait) << int(leader.awaits)
-        << int(leader.command) << leader.term;
-    for (const EndpointId& id : leader.asked) key << id;
-    for (const MemberStatus& answer : leader.answers) AddKey(key, answer);
-    if (options_.planted == Planted::kOldEvidence) {
-      for (const MemberStatus& old : leader.old_evidence) AddKey(key, old);
-    }
-  }
 
   Options options_;
   Group group_;
