--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -149,9 +149,9 @@
 }
 
 const PromotionOrders& FleetController::OrdersOf(const GroupId& group) const {
-  static const PromotionOrders kNone;
+  static const PromotionOrders none;
   auto orders = orders_.find(group);
-  return orders == orders_.end() ? kNone : orders->second;
+  return orders == orders_.end() ? none : orders->second;
 }
 
 void FleetController::RecordOrders(const GroupId& group,
