--- a/review/stage-2/stage.h
+++ b/review/stage-2/stage.h
@@ -242,14 +242,15 @@
     ::waitpid(pid_, nullptr, 0);
     pid_ = -1;
   }
-  /// Resident memory in KiB; 0 if the process has ended.
-  int64_t ResidentKib() const {
+  /// Resident memory in KiB, at present ("VmRSS:") or the most so far
+  /// ("VmHWM:"); 0 if the process has ended.
+  int64_t ResidentKib(const std::string& which = "VmRSS:") const {
     if (pid_ <= 0) return 0;
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
     std::string word;
     while (status >> word) {
       int64_t kib = 0;
-      if (word == "VmRSS:" && status >> kib) return kib;
+      if (word == which && status >> kib) return kib;
     }
     return 0;
   }
