--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -8,12 +8,13 @@
 
 constexpr size_t kRelays = 3;
 constexpr int kClients = 2;
-constexpr int kTimeoutMs = 1200;
+constexpr int kTimeoutMs = 3000;
+/// At most 500 in the site file.
 constexpr int kWorkMs = 320;
 /// With COMMIT: "a transaction of up to 12 statements".
 constexpr int kStatements = 12;
-/// Of the site's requests with the longest one.
-constexpr int kDeadlineMs = 4000;
+constexpr int kDeadlineMs = 8000;
+constexpr int kContactMs = 5000;
 constexpr int kGraceMs = 6000;
 constexpr int kLossSlackMs = 200;
 /// The platform asks for /ready once a second; two misses end the rotation.
@@ -46,7 +47,7 @@
       usual.Query("usual" + std::to_string(i), "READ warm");
   }
   // "no unplanned disruption from `contactMs` before the request"
-  SleepMs(4000);
+  SleepMs(kContactMs);
   int64_t start = record.Ms();
   if (Troubled()) {
     deployment.relay(0).Signal(SIGTERM);
