End the transactions of other relays in a drain as those of own callers

Callers saw: their own relay goes on; the one that holds the connection of their transaction is stopped. Its statements were taken to the end of the drain, and a COMMIT under way then was cut: UNKNOWN, which no client repeats.

A relay that drains turned away what begins, and took what belongs to an open transaction without limit. A transaction that rested also kept the relay from ending before the limit.

Change: from the time on that transactions have, their statements are answered with ABORTED, and the transaction is rolled back; those that rest are rolled back then. A statement that waits for its turn was sent in time, and still runs.

--- a/relay/include/cardamomchute/relay/endpoint_pool.h
+++ b/relay/include/cardamomchute/relay/endpoint_pool.h
@@ -109,6 +109,8 @@
   /// Abandons all statements and transactions that arrived on `link`, which is
   /// lost.
   void AbandonAll(const RelayLink& link);
+  /// Rolls back the transactions of which no statement runs or waits.
+  void EndRestingTransactions();
   /// Calls `done` with the last known log position of the primary and its
   /// `age`: it contains every commit acknowledged more than `age` before this
   /// call. `at` is empty if no position is known.
@@ -216,6 +218,8 @@
   HeldPtr FindPinned(const SessionKey& key, uint64_t run);
   HeldPtr FindIdle(const Job& job);
   bool AnyPinned() const;
+  /// Returns whether a statement waits for the connection's transaction.
+  bool IsAwaited(const Held& held) const;
   static bool IsIdle(const Held& held);
   bool HasConnectionOf(const OrganisationName& organisation) const;
   std::vector<ConnectionDemand> Demands() const;
--- a/relay/include/cardamomchute/relay/relay.h
+++ b/relay/include/cardamomchute/relay/relay.h
@@ -109,8 +109,8 @@
   /// The same, if the map that this relay has is of that version.
   void ExtendKeeperMap(uint64_t version, Time valid_until);
   /// Closes sessions as they become idle. After `transactions`, statements are
-  /// refused, also those of open transactions. `done` runs once, by `limit` at
-  /// the latest.
+  /// refused, also those of open transactions and of other relays. `done` runs
+  /// once, by `limit` at the latest.
   void Drain(Duration transactions, Duration limit, std::function<void()> done);
   void Stop();
 
@@ -181,8 +181,10 @@
   void ScheduleSweep();
   void Sweep();
   void CheckDrained();
-  /// Returns whether this VM takes no new statements from other VMs.
-  bool HandsOver() const;
+  /// Returns whether the statement of another relay comes too late, as this VM
+  /// is about to stop; answers it if so.
+  bool RefuseForDrain(const RelayLink& from, const RunRequest& request,
+                      const RunDone& done);
   std::optional<Target> HolderOf(const EndpointRecord& endpoint,
                                  const OrganisationName& organisation) const;
   /// Returns the VM to use for the endpoint, port 0 for this one; nullopt if
--- a/relay/src/endpoint_pool_abandon.cc
+++ b/relay/src/endpoint_pool_abandon.cc
@@ -1,4 +1,5 @@
 /// Transactions whose callers are gone.
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -23,6 +24,21 @@
   });
 }
 
+void EndpointPool::EndRestingTransactions() {
+  std::vector<HeldPtr> all = held_;
+  for (const HeldPtr& held : all) {
+    bool rests = held->pinned && !held->job && !IsAwaited(*held);
+    if (rests) Release(held);
+  }
+}
+
+bool EndpointPool::IsAwaited(const Held& held) const {
+  return std::any_of(jobs_.begin(), jobs_.end(), [&held](const auto& item) {
+    const Job& job = *item.second;
+    return job.key == held.pinned && job.request.run == held.run;
+  });
+}
+
 /// A connection belongs to the owner of its job from the moment the job is
 /// assigned to it: the transaction may open before the endpoint says so.
 void EndpointPool::AbandonWhere(const OwnerFilter& abandoned) {
--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -69,13 +69,7 @@
                            RunDone done) {
     std::shared_ptr<Relay> self = weak.lock();
     if (!self) return;
-    if (self->HandsOver() && !InTransaction(request.step)) {
-      RunAnswer elsewhere;
-      elsewhere.number = request.number;
-      elsewhere.outcome = StatementStatus::kUnreachable;
-      elsewhere.detail = kVmStops;
-      return done(std::move(elsewhere));
-    }
+    if (self->RefuseForDrain(from, request, done)) return;
     std::shared_ptr<EndpointPool> pool =
         self->PoolOf(request.endpoint, request.group, request.address);
     SessionKey key{from, request.session};
--- a/relay/src/relay_drain.cc
+++ b/relay/src/relay_drain.cc
@@ -25,8 +25,28 @@
   CheckDrained();
 }
 
-bool Relay::HandsOver() const {
-  return drain_ && cardamomchute::HandsOver(*drain_, Now());
+bool Relay::RefuseForDrain(const RelayLink& from, const RunRequest& request,
+                           const RunDone& done) {
+  bool in_transaction = InTransaction(request.step);
+  bool refuses = in_transaction ? RefusesStatements()
+                                : drain_ && HandsOver(*drain_, Now());
+  if (!refuses) return false;
+  RunAnswer refusal;
+  refusal.number = request.number;
+  // A new statement may run through another VM, a transaction can't go on.
+  refusal.outcome = in_transaction ? StatementStatus::kAborted
+                                   : StatementStatus::kUnreachable;
+  refusal.detail = kVmStops;
+  auto pool = pools_.find(request.endpoint);
+  if (in_transaction && pool != pools_.end())
+    pool->second->Abandon(SessionKey{from, request.session}, request.run);
+  LogLine(LogLevel::kInfo, "drain_refused_relay")
+      .Field("request", request.id)
+      .Field("from", from.relay)
+      .Field("endpoint", request.endpoint)
+      .Field("outcome", ToString(refusal.outcome));
+  done(std::move(refusal));
+  return true;
 }
 
 bool Relay::ClosesAfterAnswers() const {
@@ -45,6 +65,9 @@
     session->CloseIfIdle();
     if (RefusesStatements()) session->EndRestingTransaction();
   }
+  if (RefusesStatements()) {
+    for (const auto& [id, pool] : pools_) pool->EndRestingTransactions();
+  }
   bool pools_idle =
       std::all_of(pools_.begin(), pools_.end(),
                   [](const auto& item) { return item.second->Idle(); });
--- a/relay/test/relay_drain-test.cc
+++ b/relay/test/relay_drain-test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -102,10 +103,52 @@
 
 using BusyCallers = std::vector<std::unique_ptr<BusyCaller>>;
 
+/// Another relay, which sends its callers' statements to the one under test.
+class OtherRelay {
+ public:
+  explicit OtherRelay(ServingRelay* serving)
+      : serving_(serving),
+        mesh_(std::make_shared<RelayMesh>(&serving->io, VmId("relay-b"),
+                                          MeshHandlers())) {}
+  ~OtherRelay() { mesh_->Close(); }
+
+  /// Sends a statement of `session`, whose transaction may hold writes.
+  void Send(uint64_t session, RunStep step, const std::string& text,
+            RunDone done) {
+    RunRequest request;
+    request.session = session;
+    request.run = session;
+    request.endpoint = serving_->group.member(0).id;
+    request.group = GroupId("g1");
+    request.address = serving_->group.member(0).address;
+    request.step = step;
+    request.writes = step != RunStep::kCommit;
+    request.at_primary = true;
+    request.hold = request.timeout = Seconds(20);
+    request.id = "q";
+    request.text = text;
+    mesh_->Run(serving_->peers, request, true, std::move(done));
+  }
+
+  StatementStatus Run(uint64_t session, RunStep step, const std::string& text) {
+    std::optional<StatementStatus> outcome;
+    Send(session, step, text,
+         [&](const RunAnswer& answer) { outcome = answer.outcome; });
+    serving_->RunUntil([&] { return outcome.has_value(); });
+    BOOST_REQUIRE(outcome.has_value());
+    return *outcome;
+  }
+
+ private:
+  ServingRelay* serving_;
+  std::shared_ptr<RelayMesh> mesh_;
+};
+
 /// Drains the relay to its end and stops it, as its process does.
-void DrainAndStop(ServingRelay* serving) {
+void DrainAndStop(ServingRelay* serving, Duration transactions = kTransactions,
+                  Duration limit = kLimit) {
   bool drained = false;
-  serving->relay->Drain(kTransactions, kLimit, [&] { drained = true; });
+  serving->relay->Drain(transactions, limit, [&] { drained = true; });
   serving->RunUntil([&] { return drained; });
   BOOST_REQUIRE(drained);
   serving->relay->Stop();
@@ -149,25 +192,8 @@
 /// of which control could not tell them.
 BOOST_AUTO_TEST_CASE(a_relay_that_drains_turns_other_relays_away) {
   ServingRelay serving;
-  std::shared_ptr<RelayMesh> other =
-      std::make_shared<RelayMesh>(&serving.io, VmId("relay-b"), MeshHandlers());
-  auto run = [&] {
-    RunRequest request;
-    request.session = 1;
-    request.endpoint = serving.group.member(0).id;
-    request.group = GroupId("g1");
-    request.address = serving.group.member(0).address;
-    request.writes = true;
-    request.at_primary = true;
-    request.hold = request.timeout = Seconds(5);
-    request.id = "q";
-    request.text = "WRITE k v";
-    std::optional<StatementStatus> outcome;
-    other->Run(serving.peers, request, false,
-               [&](const RunAnswer& answer) { outcome = answer.outcome; });
-    serving.RunUntil([&] { return outcome.has_value(); });
-    return outcome.value_or(StatementStatus::kUnknown);
-  };
+  OtherRelay other(&serving);
+  auto run = [&] { return other.Run(1, RunStep::kSingle, "WRITE k v"); };
   BOOST_TEST((run() == StatementStatus::kDone));
   serving.relay->Drain(Seconds(5), Seconds(10), [] {});
   StatementStatus last = StatementStatus::kDone;
@@ -178,7 +204,6 @@
   size_t before = serving.group.member(0).runs.size();
   BOOST_TEST((run() == StatementStatus::kUnreachable));
   BOOST_TEST(serving.group.member(0).runs.size() == before);
-  other->Close();
 }
 
 /// Guards against requests that a relay cuts when it is stopped: a caller that
@@ -250,6 +275,40 @@
   BOOST_TEST(serving.group.member(0).runs.empty());
 }
 
+/// Guards against commits without an answer: a relay that drains took the
+/// statements of other relays' transactions to its end, and cut the last ones.
+BOOST_AUTO_TEST_CASE(a_drain_ends_transactions_of_other_relays) {
+  ServingRelay serving;
+  OtherRelay other(&serving);
+  BOOST_TEST(
+      (other.Run(1, RunStep::kFirst, "WRITE k v") == StatementStatus::kDone));
+  BOOST_TEST(
+      (other.Run(2, RunStep::kFirst, "WRITE k w") == StatementStatus::kDone));
+  serving.relay->Drain(Millis(100), kLimit, [] {});
+  serving.io.run_for(std::chrono::milliseconds(300));
+  size_t before = serving.group.member(0).runs.size();
+  BOOST_TEST(
+      (other.Run(1, RunStep::kCommit, "COMMIT") == StatementStatus::kAborted));
+  BOOST_TEST(
+      (other.Run(2, RunStep::kNext, "WRITE k x") == StatementStatus::kAborted));
+  BOOST_TEST(serving.group.member(0).runs.size() == before);
+  BOOST_TEST(serving.group.CountOf("v") == 0u);
+}
+
+/// Guards against a relay that waits to the end of its drain for transactions
+/// of other relays that rest.
+BOOST_AUTO_TEST_CASE(a_drain_waits_for_no_resting_transaction) {
+  ServingRelay serving;
+  OtherRelay other(&serving);
+  BOOST_TEST(
+      (other.Run(1, RunStep::kFirst, "WRITE k v") == StatementStatus::kDone));
+  bool drained = false;
+  // Longer than the test waits.
+  serving.relay->Drain(Millis(100), Seconds(60), [&] { drained = true; });
+  serving.RunUntil([&] { return drained; });
+  BOOST_TEST(drained);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
