--- a/relay/src/relay.cc
+++ b/relay/src/relay.cc
@@ -69,13 +69,7 @@
                            RunDone done) {
     std::shared_ptr<Relay> self = weak.lock();
     if (!self) return;
-    if (self->HandsOver() && !InTransaction(request.step)) {
-      RunAnswer elsewhere;
-      elsewhere.number = request.number;
-      elsewhere.outcome = StatementStatus::kUnreachable;
-      elsewhere.detail = "this VM is about to stop";
-      return done(std::move(elsewhere));
-    }
+    if (self->RefuseForDrain(from, request, done)) return;
     std::shared_ptr<EndpointPool> pool =
         self->PoolOf(request.endpoint, request.group, request.address);
     SessionKey key{from, request.session};
@@ -197,7 +191,7 @@
   // Connections are opened before the first statement needs them.
   for (const EndpointId& id : held_) {
     auto found = directory_.endpoints.find(id);
-    if (found == directory_.endpoints.end() || draining_) continue;
+    if (found == directory_.endpoints.end() || drain_) continue;
     const EndpointRecord& record = found->second;
     if (record.gone || record.leaving) continue;
     PoolOf(id, record.group, record.address)->Warm();
