--- a/review/standin-3/case-12.cc
+++ b/review/standin-3/case-12.cc
@@ -25,8 +25,15 @@
                                  "/instances/i-other7/beat", body, 1000);
     Note(Text("odd heartbeat %s -> %d", body.c_str(), answer.status));
   }
-  // Who said it is silent since: nobody waits for it any more.
-  SleepMs(16000);
+  SleepMs(2000);
+  if (Trouble()) {
+    // It goes as it came.
+    HttpAnswer answer =
+        HttpCall(system.Control(1), "POST", "/instances/i-other7/leave",
+                 "{\"service\":\"ledger\",\"seq\":2}", 1000);
+    Note(Text("leave of the other writer -> %d", answer.status));
+  }
+  SleepMs(5000);
   return ledger.LagAndCrash();
 }
 
