--- a/review/standin-3/case-11.cc
+++ b/review/standin-3/case-11.cc
@@ -18,6 +18,11 @@
   group.path = [&](size_t i, const Endpoint& node) {
     return i == 1 && node.host == system.Control(1).host ? near : node;
   };
+  // Ends before the proxy.
+  struct Quiet {
+    Group& group;
+    ~Quiet() { group.StopBeats(); }
+  } quiet{group};
   if (!ledger.Start()) return kCannotRun;
 
   SleepMs(2000);
--- a/review/standin-3/harness.h
+++ b/review/standin-3/harness.h
@@ -486,13 +486,20 @@
       beaters_.emplace_back([this, i] { Beat(i); });
   }
   ~Group() {
+    StopBeats();
     ended_ = true;
     changed_.notify_all();
-    for (std::thread& beater : beaters_) beater.join();
     for (std::thread& promoter : promoters_) promoter.join();
     for (auto& member : members_) member->server.reset();
   }
 
+  /// Members say nothing more; to be called before what `path` uses ends.
+  void StopBeats() {
+    beats_end_ = true;
+    for (std::thread& beater : beaters_) beater.join();
+    beaters_.clear();
+  }
+
   const GroupParams& params() const { return params_; }
   size_t size() const { return members_.size(); }
   std::mutex& mutex() { return mutex_; }
@@ -897,7 +904,7 @@
 
   void Beat(size_t i) {
     double next = 0;
-    while (!ended_) {
+    while (!beats_end_) {
       SleepMs(10);
       bool due = false;
       {
@@ -918,6 +925,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::atomic<bool> ended_{false};
+  std::atomic<bool> beats_end_{false};
   std::atomic<uint64_t> next_connection_{0};
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::thread> beaters_;
