--- a/review/standin-3/harness.h
+++ b/review/standin-3/harness.h
@@ -750,7 +750,10 @@
         if (id != "-" && params_.work_ms > 0) SleepMs(params_.work_ms);
         Lock lock(mutex_);
         if (member.dark) continue;
-        if (id != "-") member.runs.push_back({id, rest, connection});
+        if (id != "-") {
+          member.runs.push_back({id, rest, connection});
+          Note("run " + id + " at " + member.id + ": " + rest);
+        }
         answer = Answer(member, incarnation, session, id, rest, lock);
         if (!answer) continue;
       } else {
--- a/review/standin-3/ledger.h
+++ b/review/standin-3/ledger.h
@@ -53,11 +53,15 @@
     }
     std::string id = NewId(Text("w%d-", number));
     std::string data = Text("d%d-%d", number, ++count);
+    Note(Text("sent %s to relay %d: WRITE k%d ", id.c_str(), number % 2,
+              number) +
+         data);
     Answer answer = client.Query(id, Text("WRITE k%d ", number) + data, 3000);
     bool success = answer.done && answer.signature != "-";
-    if (!success)
-      Note("write " + id + " " + data + ": " +
-           (answer.came ? answer.code : std::string("no answer")));
+    Note("answered " + id + ": " +
+         (success       ? "DONE " + answer.signature
+          : answer.came ? "ERR " + answer.code
+                        : std::string("nothing")));
     if (success) {
       Lock lock(judge->mutex);
       judge->acknowledged.push_back({id, data, NowS()});
