Take a leave for the process that it names

What callers saw: a replica left as announced and started again under its id.

Cause: FleetController::Leave took the id alone and marked whatever process was known under it as gone, for good.

Change: a leave carries the start of its process. EffectOf compares it with the known one: an earlier process's is acknowledged and changes nothing. Each leave is logged with its effect.

The tests that let an endpoint leave without an announcement name its start.

--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -27,6 +27,7 @@
 #include "cardamomchute/peers/quorum_host.h"
 #include "cardamomchute/policy/documents/layout.h"
 #include "cardamomchute/policy/documents/layout_push.h"
+#include "cardamomchute/policy/routing/endpoint_leave.h"
 #include "cardamomchute/policy/routing/unnamed_announcements.h"
 
 namespace cardamomchute {
@@ -87,9 +88,10 @@
   /// group: until then it does not concern what the directory has under its id
   /// or address. Returns false if this member has no contact with the leader.
   bool Announce(const EndpointRecord& record);
-  /// Marks an endpoint as removed permanently. Returns false if this member has
-  /// no contact with the leader.
-  bool Leave(const EndpointId& endpoint);
+  /// Marks an endpoint as gone if the leave is of its process. Returns false if
+  /// this member has no contact with the leader, or cannot tell which process
+  /// the leave is of: another member may know.
+  bool Leave(const EndpointLeave& leave);
   bool leading() const { return host_ && host_->leading(); }
   bool has_leader_contact() const {
     return host_ && host_->HasLeaderContact(Now());
--- a/fleet/src/fleet_controller_announcements.cc
+++ b/fleet/src/fleet_controller_announcements.cc
@@ -1,4 +1,6 @@
 /// Announcements of endpoints: which are taken into the directory, and when.
+#include <string>
+
 #include "cardamomchute/base/log.h"
 #include "cardamomchute/fleet/fleet_controller.h"
 
@@ -16,16 +18,29 @@
   return true;
 }
 
-bool FleetController::Leave(const EndpointId& endpoint) {
-  if (!host_->HasLeaderContact(Now())) return false;
-  unnamed_.items.erase(endpoint);
-  auto known = directory_.endpoints.find(endpoint);
-  if (known == directory_.endpoints.end()) return true;
-  DirectoryDelta delta;
-  delta.endpoints.push_back(known->second);
-  delta.endpoints.back().gone = true;
-  TakeDelta(delta, false);
-  return true;
+bool FleetController::Leave(const EndpointLeave& leave) {
+  Time now = Now();
+  if (!host_->HasLeaderContact(now)) return false;
+  Forget(unnamed_, leave);
+  auto found = directory_.endpoints.find(leave.id);
+  const EndpointRecord* known =
+      found == directory_.endpoints.end() ? nullptr : &found->second;
+  LeaveEffect effect =
+      EffectOf(leave, known, LeavingSince(directory_, leave.id), now);
+  LogLine(LogLevel::kInfo, "endpoint_leave")
+      .Field("endpoint", leave.id)
+      .Field("born_ms",
+             leave.started_ms ? std::to_string(*leave.started_ms) : "unknown")
+      .Field("known_born_ms",
+             known ? std::to_string(known->started_ms) : "unknown")
+      .Field("effect", ToString(effect));
+  if (effect == LeaveEffect::kEnds) {
+    DirectoryDelta delta;
+    delta.endpoints.push_back(*known);
+    delta.endpoints.back().gone = true;
+    TakeDelta(delta, false);
+  }
+  return effect != LeaveEffect::kOther;
 }
 
 /// Returns whether the layout in force names the group. It is parsed only for a
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -221,7 +221,7 @@
   LineGroup group(&other, "g1", 1);
   BOOST_REQUIRE(cluster.RunUntil(
       [&] { return cluster.At(0)->Announce(group.Record(0, "a", 1)); }));
-  BOOST_TEST(cluster.At(0)->Leave(EndpointId("g1-0")));
+  BOOST_TEST(cluster.At(0)->Leave({EndpointId("g1-0"), kFirstStartMs}));
   BOOST_REQUIRE((cluster.Put(LayoutText(1, "db")) == CallOutcome::kDone));
   BOOST_REQUIRE(cluster.RunUntil([&] { return relay.version == 1; }));
   cluster.RunUntil([] { return false; }, Millis(300));
--- a/fleet/test/lost_copies-test.cc
+++ b/fleet/test/lost_copies-test.cc
@@ -20,8 +20,9 @@
 void ShutDown(Succession* s, size_t member) {
   s->group.Kill(member);
   s->group.member(member).cut_off = true;
-  BOOST_REQUIRE(s->cluster.RunUntil(
-      [&] { return s->cluster.At(0)->Leave(s->group.member(member).id); }));
+  BOOST_REQUIRE(s->cluster.RunUntil([&] {
+    return s->cluster.At(0)->Leave({s->group.member(member).id, kFirstStartMs});
+  }));
 }
 
 void CrashPrimary(Succession* s, size_t member = 0) {
@@ -41,7 +42,7 @@
   EndpointRecord record = s->group.Record(3, "a", 1);
   BOOST_REQUIRE(s->cluster.RunUntil([&] {
     return s->cluster.At(0)->Announce(record) &&
-           s->cluster.At(0)->Leave(s->group.member(member).id);
+           s->cluster.At(0)->Leave({s->group.member(member).id, kFirstStartMs});
   }));
 }
 
@@ -109,7 +110,7 @@
   BOOST_REQUIRE(s.group.Commit("k", "kept"));
   s.cluster.RunUntil([] { return false; }, Millis(500));
   CrashPrimary(&s);
-  BOOST_REQUIRE(s.cluster.At(0)->Leave(EndpointId("g1-0")));
+  BOOST_REQUIRE(s.cluster.At(0)->Leave({EndpointId("g1-0"), kFirstStartMs}));
   BOOST_REQUIRE(s.cluster.RunUntil([&] { return s.LeadIs("g1-1"); }));
   s.cluster.RunUntil([] { return false; }, Seconds(2));
   size_t sent = s.cluster.orders.size();
@@ -134,7 +135,7 @@
   s.group.member(2).silent = false;
   s.cluster.RunUntil([] { return false; }, Seconds(1));
   BOOST_TEST(s.cluster.orders.empty());
-  BOOST_REQUIRE(s.cluster.At(0)->Leave(EndpointId("g1-0")));
+  BOOST_REQUIRE(s.cluster.At(0)->Leave({EndpointId("g1-0"), kFirstStartMs}));
   s.cluster.RunUntil(
       [&] {
         s.Complain(EndpointProblem::kRefused);
--- a/fleet/test/primary_replacement-test.cc
+++ b/fleet/test/primary_replacement-test.cc
@@ -230,7 +230,7 @@
   // The dead one has left for good, so that nobody waits for it.
   size_t up = *s.cluster.Leader();
   s.cluster.RunUntil([&] {
-    return s.cluster.At(up)->Leave(EndpointId("g1-0")) &&
+    return s.cluster.At(up)->Leave({EndpointId("g1-0"), kFirstStartMs}) &&
            s.cluster.At(up)->Announce(leaving);
   });
   BOOST_TEST(s.cluster.RunUntil([&] { return s.cluster.orders.size() >= 2; }));
--- a/fleet/test/promotion_orders-test.cc
+++ b/fleet/test/promotion_orders-test.cc
@@ -66,7 +66,7 @@
   BOOST_REQUIRE(s->cluster.RunUntil([&] {
     std::optional<size_t> leader = s->cluster.Leader();
     return leader && s->cluster.At(*leader)->Announce(joined) &&
-           s->cluster.At(*leader)->Leave(EndpointId(gone));
+           s->cluster.At(*leader)->Leave({EndpointId(gone), kFirstStartMs});
   }));
 }
 
--- a/policy/include/cardamomchute/policy/routing/unnamed_announcements.h
+++ b/policy/include/cardamomchute/policy/routing/unnamed_announcements.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cardamomchute/policy/routing/directory.h"
+#include "cardamomchute/policy/routing/endpoint_leave.h"
 
 namespace cardamomchute {
 
@@ -33,6 +34,9 @@
 bool Keep(UnnamedAnnouncements& unnamed, const EndpointRecord& record,
           Time now);
 
+/// Drops the announcement of the process that ends, or of an earlier one.
+void Forget(UnnamedAnnouncements& unnamed, const EndpointLeave& leave);
+
 /// Drops old announcements, and takes those whose group is in `named`.
 std::vector<EndpointRecord> TakeNamed(UnnamedAnnouncements& unnamed,
                                       const std::set<GroupId>& named, Time now);
--- a/policy/src/routing/unnamed_announcements.cc
+++ b/policy/src/routing/unnamed_announcements.cc
@@ -26,6 +26,14 @@
   return true;
 }
 
+void Forget(UnnamedAnnouncements& unnamed, const EndpointLeave& leave) {
+  auto known = unnamed.items.find(leave.id);
+  if (known == unnamed.items.end()) return;
+  bool later_process =
+      leave.started_ms && *leave.started_ms < known->second.record.started_ms;
+  if (!later_process) unnamed.items.erase(known);
+}
+
 std::vector<EndpointRecord> TakeNamed(UnnamedAnnouncements& unnamed,
                                       const std::set<GroupId>& named,
                                       Time now) {
--- a/relay/test/line_group.cc
+++ b/relay/test/line_group.cc
@@ -295,7 +295,7 @@
   record.zone = Zone(zone);
   record.slots = 2;
   record.claims_primary = member.is_primary;
-  record.started_ms = 1;
+  record.started_ms = kFirstStartMs;
   record.sequence = sequence;
   return record;
 }
--- a/relay/test/line_group.h
+++ b/relay/test/line_group.h
@@ -17,6 +17,9 @@
 
 namespace cardamomchute {
 
+/// Start of the processes that LineGroup::Record announces.
+inline constexpr uint64_t kFirstStartMs = 1;
+
 class LineSession;
 
 /// What one endpoint of the group is, and how it misbehaves.
