Require every field of a heartbeat, with its type

What callers saw: one heartbeat of another writer, with the address of a live replica, no `version` and a text for `coldLeftMs`, was answered with 200.

Cause: DecodeAnnouncement did not look at `version` and `coldLeftMs`, and took a heartbeat without `born` for one with start 0. The entry became an endpoint, and as its start was later, it replaced the replica at its address: the stewards log i-ledger1 gone=1 at the moment at which i-other7 comes, and never gone=0 again.

Change: `version`, `coldLeftMs` and `born` are required.

That a well-formed entry hides a member for good is another fault, mended next.

--- a/fleet/test/departures-test.cc
+++ b/fleet/test/departures-test.cc
@@ -151,6 +151,37 @@
   BOOST_TEST(s.cluster.RunUntil([&] { return s.Known().gone; }));
 }
 
+/// Guards against the same by a heartbeat of another writer, which lacks a
+/// field or has it of another type, and has the address of a replica.
+BOOST_AUTO_TEST_CASE(an_odd_heartbeat_hides_no_endpoint) {
+  Succession s;
+  const EndpointId other("i-other");
+  std::string text =
+      AnnouncementText(s.group.member(1).address, false, /*sequence=*/1);
+  auto without = [&text](const std::string& from, const std::string& to) {
+    std::string odd = text;
+    odd.replace(odd.find("\"born\":1"), 8, "\"born\":2");
+    odd.replace(odd.find(from), from.size(), to);
+    return odd;
+  };
+  for (const std::string& odd :
+       {without("\"version\":\"v1\",", ""),
+        without("\"version\":\"v1\"", "\"version\":1"),
+        without("\"coldLeftMs\":0,", ""),
+        without("\"coldLeftMs\":0", "\"coldLeftMs\":\"none\""),
+        without("\"coldLeftMs\":0", "\"coldLeftMs\":-1"),
+        without(",\"born\":2", ""), without("\"born\":2", "\"born\":2.5")}) {
+    BOOST_TEST_CONTEXT(odd) {
+      BOOST_TEST(Post(&s.cluster, 0, other, AnnouncementPath(other), odd) ==
+                 kBadRequest);
+    }
+  }
+  BOOST_TEST(s.AnnounceAll());
+  s.cluster.RunUntil([] { return false; }, Millis(300));
+  BOOST_TEST(!s.listener->directory.endpoints.at(EndpointId("g1-1")).gone);
+  BOOST_TEST(!s.listener->directory.endpoints.contains(other));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
