Let nothing that was said once hide a live endpoint for good

Cause: Merge kept `gone` for a process whatever it announced later, marked what had an earlier start at an address as gone at once, and dropped announcements with an earlier start under the same id.

Change: an endpoint whose address a later start has is gone only once it has been silent for 2.5 s and the newcomer announces itself. A process that counts as ended, or as followed by a later start under its id, is alive once it has gone on announcing itself for 3 s. Its record's `revivals` rises, and records are ordered by it first, so that older ones of stewards or from disk do not hide it again. Late announcements that arrive together bring nobody back.

--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -158,6 +158,7 @@
   bool SendToLeader(const FleetMessage& message);
   void ServeWaiting(Time now, bool has_leader_contact);
   void TakeDelta(const DirectoryDelta& delta, bool from_member);
+  void OnDirectoryChange(const DirectoryDelta& changed, bool first_hand);
   bool NamesGroup(const GroupId& group);
   void RefreshNamedGroups();
   void KeepUnnamed(const EndpointRecord& record);
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -219,14 +219,19 @@
   return true;
 }
 
-/// Merges `delta` into the directory and queues the changes for the connected
-/// relays. A delta that did not come from another member is queued for the
-/// other members, too.
+/// Merges `delta` into the directory. A delta that did not come from another
+/// member is queued for the other members, too.
 void FleetController::TakeDelta(const DirectoryDelta& delta, bool from_member) {
   DirectoryDelta changed = Merge(directory_, delta, Now());
+  if (!from_member) Append(&to_members_, delta);
+  OnDirectoryChange(changed, !from_member);
+}
+
+/// Queues changed records for the connected relays.
+void FleetController::OnDirectoryChange(const DirectoryDelta& changed,
+                                        bool first_hand) {
   Append(&to_relays_, changed);
   if (!changed.Empty()) cache_due_ = true;
-  if (!from_member) Append(&to_members_, delta);
   for (const EndpointRecord& record : changed.endpoints) {
     LogLine(LogLevel::kInfo, "endpoint")
         .Field("endpoint", record.id)
@@ -237,7 +242,8 @@
         .Field("claims_lead", record.claims_primary)
         .Field("born_ms", record.started_ms)
         .Field("sequence", record.sequence)
-        .Field("first_hand", !from_member);
+        .Field("revivals", record.revivals)
+        .Field("first_hand", first_hand);
     NoteCopies(record.group);
   }
 }
@@ -252,9 +258,7 @@
 void FleetController::ExpireRecords(Time now) {
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpiryInterval;
-  DirectoryDelta expired = Expire(directory_, now);
-  to_relays_.relays.insert(to_relays_.relays.end(), expired.relays.begin(),
-                           expired.relays.end());
+  OnDirectoryChange(Expire(directory_, now), false);
 }
 
 void FleetController::OnTick(Time now) {
--- a/fleet/src/fleet_controller_announcements.cc
+++ b/fleet/src/fleet_controller_announcements.cc
@@ -13,7 +13,7 @@
     return true;
   }
   DirectoryDelta delta;
-  delta.endpoints.push_back(record);
+  delta.endpoints.push_back(Continue(directory_, record));
   TakeDelta(delta, false);
   return true;
 }
@@ -79,7 +79,8 @@
   if (unnamed_.items.empty()) return;
   RefreshNamedGroups();
   DirectoryDelta delta;
-  delta.endpoints = TakeNamed(unnamed_, named_groups_, now);
+  for (const EndpointRecord& record : TakeNamed(unnamed_, named_groups_, now))
+    delta.endpoints.push_back(Continue(directory_, record));
   if (!delta.Empty()) TakeDelta(delta, false);
 }
 
--- a/policy/include/cardamomchute/policy/routing/directory.h
+++ b/policy/include/cardamomchute/policy/routing/directory.h
@@ -37,9 +37,11 @@
   bool claims_primary = false;  ///< it reports to be the primary
   uint64_t started_ms = 0;      ///< start of its process, by its own wall clock
   uint64_t sequence = 0;        ///< announcement number within one run
+  /// How often its process was found alive after it had counted as ended.
+  uint64_t revivals = 0;
 
   MSGPACK_DEFINE(id, group, address, zone, slots, leaving, gone, claims_primary,
-                 started_ms, sequence)
+                 started_ms, sequence, revivals)
 };
 
 /// A VM that relays statements.
@@ -81,6 +83,14 @@
   MSGPACK_DEFINE(endpoints, relays, primaries)
 };
 
+/// Announcements of a process that counts as ended.
+struct LifeSigns {
+  uint64_t started_ms = 0;
+  uint64_t sequence = 0;  ///< of the last one
+  Time first;
+  Time last;
+};
+
 struct Directory {
   std::map<EndpointId, EndpointRecord> endpoints;
   std::map<VmId, RelayRecord> relays;
@@ -89,6 +99,7 @@
   /// When this VM learned that an endpoint leaves.
   std::map<EndpointId, Time> leaving_since;
   std::map<VmId, Time> relay_heard;
+  std::map<EndpointId, LifeSigns> life_signs;
   /// Indexes of `endpoints`, kept by Merge and Expire. Announcements arrive by
   /// the thousand a second, and each asks who else has its address.
   std::map<Address, std::set<EndpointId>> endpoints_at;
@@ -101,6 +112,15 @@
 /// announcements do not bring them back.
 inline constexpr Duration kRemovedRecordRetention = Seconds(60);
 
+/// An endpoint whose address a later start has is gone once it has been silent
+/// for this long. Endpoints announce themselves about every 1.2 s.
+inline constexpr Duration kReplacedSilence = Millis(2500);
+/// A process that counts as ended and goes on announcing itself for this long
+/// is alive. Late announcements arrive together, when a partition heals.
+inline constexpr Duration kRevivalTime = Seconds(3);
+/// Announcements further apart than this do not belong together.
+inline constexpr Duration kMaxLifeSignGap = Seconds(5);
+
 /// An endpoint gets no new statements from a VM that has known for this long
 /// that it leaves. The platform allows 7 s from when control acknowledged it.
 inline constexpr Duration kLeavingUse = Seconds(6);
@@ -113,18 +133,27 @@
 /// since 1970: it would replace what is at its address, and never be replaced.
 Status CheckStart(const EndpointRecord& record, uint64_t wall_ms);
 
-/// Returns whether `a` was announced after `b`, by the same endpoint.
+/// Returns whether `a` follows `b`, of the same endpoint.
 bool Newer(const EndpointRecord& a, const EndpointRecord& b);
 
 /// Adds the records of `from`, which may be newer than those of `to`.
 void Append(DirectoryDelta* to, const DirectoryDelta& from);
 
+/// Returns `announced`, as its endpoint said it, as it continues what is known.
+EndpointRecord Continue(const Directory& directory, EndpointRecord announced);
+
 /// Merges records and returns those that changed the routing.
+///
+/// An endpoint that is gone stays so until another process of it starts, as
+/// announcements may be late, or until its process has gone on announcing
+/// itself for kRevivalTime. The same brings back a process that counts as
+/// followed by another one, which is silent meanwhile.
 DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
                      Time now);
 
-/// Marks silent relays as gone and drops old records. Returns the records that
-/// were marked.
+/// Marks as gone silent relays, and silent endpoints whose address another one
+/// has that started later and announces itself. Drops old records. Returns the
+/// records that were marked.
 DirectoryDelta Expire(Directory& directory, Time now);
 
 /// Returns all records, for a peer without any.
--- a/policy/src/routing/directory.cc
+++ b/policy/src/routing/directory.cc
@@ -17,7 +17,8 @@
 bool EqualForRouting(const EndpointRecord& a, const EndpointRecord& b) {
   return a.group == b.group && a.address == b.address && a.zone == b.zone &&
          a.slots == b.slots && a.leaving == b.leaving && a.gone == b.gone &&
-         a.claims_primary == b.claims_primary && a.started_ms == b.started_ms;
+         a.claims_primary == b.claims_primary && a.started_ms == b.started_ms &&
+         a.revivals == b.revivals;
 }
 
 bool EqualForRouting(const RelayRecord& a, const RelayRecord& b) {
@@ -67,31 +68,107 @@
   directory.endpoint_heard[record.id] = now;
 }
 
-/// Marks older endpoints with the address of `now_there` as gone, since
-/// addresses are reused.
-void RemoveReplacedEndpoints(Directory& directory,
-                             const EndpointRecord& now_there,
-                             DirectoryDelta* changed) {
-  auto there = directory.endpoints_at.find(now_there.address);
-  if (there == directory.endpoints_at.end()) return;
-  for (const EndpointId& id : there->second) {
-    EndpointRecord& record = directory.endpoints.at(id);
-    bool replaced = id != now_there.id && !record.gone &&
-                    record.started_ms < now_there.started_ms;
-    if (!replaced) continue;
+bool SameProcess(const EndpointRecord& a, const EndpointRecord& b) {
+  return a.started_ms == b.started_ms && a.revivals == b.revivals;
+}
+
+/// Whether `record` says that its process is alive although `known`, of the
+/// same endpoint, says that it has ended.
+bool Contradicts(const EndpointRecord& record, const EndpointRecord& known) {
+  if (record.gone || record.revivals != known.revivals) return false;
+  bool after_end = known.gone && record.started_ms == known.started_ms &&
+                   record.sequence > known.sequence;
+  return after_end || record.started_ms < known.started_ms;
+}
+
+/// Notes an announcement that contradicts what is known. Returns whether its
+/// process has gone on for long enough.
+bool NoteLifeSign(Directory& directory, const EndpointRecord& record,
+                  Time now) {
+  LifeSigns begun{record.started_ms, record.sequence, now, now};
+  auto [found, is_new] = directory.life_signs.try_emplace(record.id, begun);
+  LifeSigns& signs = found->second;
+  bool same_series = signs.started_ms == record.started_ms &&
+                     now - signs.last <= kMaxLifeSignGap;
+  if (!same_series) signs = begun;
+  if (is_new || !same_series || record.sequence <= signs.sequence) return false;
+  signs.sequence = record.sequence;
+  signs.last = now;
+  return now - signs.first >= kRevivalTime;
+}
+
+void MergeEndpoint(Directory& directory, EndpointRecord record, Time now,
+                   DirectoryDelta* changed) {
+  auto found = directory.endpoints.find(record.id);
+  EndpointRecord* known =
+      found == directory.endpoints.end() ? nullptr : &found->second;
+  if (known != nullptr && Contradicts(record, *known) &&
+      NoteLifeSign(directory, record, now)) {
+    record.revivals = known->revivals + 1;
+  }
+  if (known != nullptr && !Newer(record, *known)) {
+    bool ended = record.gone && !known->gone && SameProcess(record, *known);
+    if (!ended) return;
+    known->gone = true;
+    changed->endpoints.push_back(*known);
+    return;
+  }
+  if (known != nullptr && known->gone && SameProcess(record, *known))
     record.gone = true;
-    changed->endpoints.push_back(record);
+  if (!record.gone) directory.life_signs.erase(record.id);
+  bool news = known == nullptr || !EqualForRouting(*known, record);
+  Store(directory, record, now);
+  if (news) changed->endpoints.push_back(record);
+}
+
+/// Whether an endpoint that started later and announces itself has the address
+/// of `record`.
+bool AddressReused(const Directory& directory, const EndpointRecord& record,
+                   Time now) {
+  const std::set<EndpointId>& there = directory.endpoints_at.at(record.address);
+  return std::any_of(there.begin(), there.end(), [&](const EndpointId& id) {
+    const EndpointRecord& other = directory.endpoints.at(id);
+    Duration silent = now - directory.endpoint_heard.at(id);
+    return id != record.id && !other.gone &&
+           other.started_ms > record.started_ms && silent <= kReplacedSilence;
+  });
+}
+
+void ExpireRelays(Directory& directory, Time now, DirectoryDelta* changed) {
+  for (auto it = directory.relays.begin(); it != directory.relays.end();) {
+    Duration silent = now - directory.relay_heard[it->first];
+    if (silent > kRemovedRecordRetention) {
+      directory.relay_heard.erase(it->first);
+      it = directory.relays.erase(it);
+      continue;
+    }
+    if (silent > kRelayTimeout && !it->second.gone) {
+      it->second.gone = true;
+      changed->relays.push_back(it->second);
+    }
+    ++it;
   }
 }
 
-bool AddressReused(const Directory& directory, const EndpointRecord& record) {
-  auto there = directory.endpoints_at.find(record.address);
-  if (there == directory.endpoints_at.end()) return false;
-  return std::any_of(
-      there->second.begin(), there->second.end(), [&](const EndpointId& other) {
-        return other != record.id &&
-               directory.endpoints.at(other).started_ms > record.started_ms;
-      });
+void ExpireEndpoints(Directory& directory, Time now, DirectoryDelta* changed) {
+  for (auto it = directory.endpoints.begin();
+       it != directory.endpoints.end();) {
+    Duration silent = now - directory.endpoint_heard[it->first];
+    if (it->second.gone && silent > kRemovedRecordRetention) {
+      directory.endpoint_heard.erase(it->first);
+      directory.leaving_since.erase(it->first);
+      RemoveFromIndexes(directory, it->second);
+      it = directory.endpoints.erase(it);
+      continue;
+    }
+    bool replaced = !it->second.gone && silent > kReplacedSilence &&
+                    AddressReused(directory, it->second, now);
+    if (replaced) {
+      it->second.gone = true;
+      changed->endpoints.push_back(it->second);
+    }
+    ++it;
+  }
 }
 
 }  // namespace
@@ -106,8 +183,8 @@
 }
 
 bool Newer(const EndpointRecord& a, const EndpointRecord& b) {
-  return std::tie(a.started_ms, a.sequence) >
-         std::tie(b.started_ms, b.sequence);
+  return std::tie(a.revivals, a.started_ms, a.sequence) >
+         std::tie(b.revivals, b.started_ms, b.sequence);
 }
 
 uint32_t SlotsForBandwidth(double link_mbps) {
@@ -124,33 +201,18 @@
     to->primaries[group] = primary;
 }
 
+EndpointRecord Continue(const Directory& directory, EndpointRecord announced) {
+  auto known = directory.endpoints.find(announced.id);
+  if (known != directory.endpoints.end())
+    announced.revivals = known->second.revivals;
+  return announced;
+}
+
 DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
                      Time now) {
   DirectoryDelta changed;
-  for (EndpointRecord record : delta.endpoints) {
-    auto known = directory.endpoints.find(record.id);
-    bool late =
-        known != directory.endpoints.end() && !Newer(record, known->second);
-    if (late) {
-      bool retired = record.gone && !known->second.gone &&
-                     record.started_ms == known->second.started_ms;
-      if (!retired) continue;
-      known->second.gone = true;
-      changed.endpoints.push_back(known->second);
-      continue;
-    }
-    if (AddressReused(directory, record)) record.gone = true;
-    // An endpoint that is gone stays so until its process restarts.
-    if (known != directory.endpoints.end() && known->second.gone &&
-        known->second.started_ms == record.started_ms) {
-      record.gone = true;
-    }
-    bool news = known == directory.endpoints.end() ||
-                !EqualForRouting(known->second, record);
-    Store(directory, record, now);
-    if (news) changed.endpoints.push_back(record);
-    if (!record.gone) RemoveReplacedEndpoints(directory, record, &changed);
-  }
+  for (const EndpointRecord& record : delta.endpoints)
+    MergeEndpoint(directory, record, now, &changed);
   for (const RelayRecord& record : delta.relays) {
     auto known = directory.relays.find(record.vm);
     bool late =
@@ -175,31 +237,11 @@
 
 DirectoryDelta Expire(Directory& directory, Time now) {
   DirectoryDelta changed;
-  for (auto it = directory.relays.begin(); it != directory.relays.end();) {
-    Duration silent = now - directory.relay_heard[it->first];
-    if (silent > kRemovedRecordRetention) {
-      directory.relay_heard.erase(it->first);
-      it = directory.relays.erase(it);
-      continue;
-    }
-    if (silent > kRelayTimeout && !it->second.gone) {
-      it->second.gone = true;
-      changed.relays.push_back(it->second);
-    }
-    ++it;
-  }
-  for (auto it = directory.endpoints.begin();
-       it != directory.endpoints.end();) {
-    Duration silent = now - directory.endpoint_heard[it->first];
-    if (it->second.gone && silent > kRemovedRecordRetention) {
-      directory.endpoint_heard.erase(it->first);
-      directory.leaving_since.erase(it->first);
-      RemoveFromIndexes(directory, it->second);
-      it = directory.endpoints.erase(it);
-      continue;
-    }
-    ++it;
-  }
+  ExpireRelays(directory, now, &changed);
+  ExpireEndpoints(directory, now, &changed);
+  std::erase_if(directory.life_signs, [now](const auto& item) {
+    return now - item.second.last > kMaxLifeSignGap;
+  });
   return changed;
 }
 
