Test that records of earlier releases are read and written

The directory's records have a field more, `revivals`. Members of both releases exchange them while a fleet is upgraded, and read each other's disks.

--- a/policy/test/routing/directory-test.cc
+++ b/policy/test/routing/directory-test.cc
@@ -210,6 +210,39 @@
   BOOST_TEST(known.started_ms == 30u);
 }
 
+/// A record as releases without `revivals` pack it.
+struct EarlierRecord {
+  EndpointId id;
+  GroupId group;
+  Address address;
+  Zone zone;
+  uint32_t slots = 2;
+  bool leaving = false;
+  bool gone = true;
+  bool claims_primary = false;
+  uint64_t started_ms = 10;
+  uint64_t sequence = 5;
+  MSGPACK_DEFINE(id, group, address, zone, slots, leaving, gone, claims_primary,
+                 started_ms, sequence)
+};
+
+/// Members and disks of both releases are read while a fleet is upgraded.
+BOOST_AUTO_TEST_CASE(records_without_revivals_are_read_and_written) {
+  EarlierRecord earlier;
+  earlier.id = EndpointId("e");
+  Result<EndpointRecord> read = Unpack<EndpointRecord>(Pack(earlier));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().gone);
+  BOOST_TEST(read.value().sequence == 5u);
+  BOOST_TEST(read.value().revivals == 0u);
+  EndpointRecord record = Endpoint("e", 1, 20, 6);
+  record.revivals = 3;
+  Result<EarlierRecord> back = Unpack<EarlierRecord>(Pack(record));
+  BOOST_REQUIRE(back);
+  BOOST_TEST(back.value().started_ms == 20u);
+  BOOST_TEST(back.value().sequence == 6u);
+}
+
 /// An earlier process does not come back while the one that followed it goes
 /// on, nor by announcements that were repeated or held up.
 BOOST_AUTO_TEST_CASE(late_announcements_bring_no_process_back) {
