Call the replacement of a primary by one name in fleet

The code said succession and replacement for one thing. Members, methods, the test fixture and a test suite now say replacement. Log events keep their names.

--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -193,8 +193,8 @@
   void ReviewPrimary(const GroupId& group, Time now);
   void SetPrimary(const GroupId& group, const EndpointId& endpoint, Term term);
   /// `lag_bound`: for kLagging, see PrimaryReplacementParams.
-  void StartSuccession(const GroupId& group, PrimaryReplacementCause cause,
-                       Duration lag_bound = Duration());
+  void ReplacePrimary(const GroupId& group, PrimaryReplacementCause cause,
+                      Duration lag_bound = Duration());
   std::optional<GrantableLeases> Grantable() const;
   /// As the leader: the authority over keys by the last confirmed round.
   std::optional<KeyGrant> OwnKeyGrant() const;
@@ -257,7 +257,7 @@
   DirectoryDelta to_members_;
   std::optional<PackedDirectory> packed_directory_;
   Time packed_until_;
-  std::map<GroupId, std::shared_ptr<PrimaryReplacement>> successions_;
+  std::map<GroupId, std::shared_ptr<PrimaryReplacement>> replacements_;
   /// Groups whose recorded primary this leader knows to be the only one, and
   /// that no order can replace.
   std::set<GroupId> confirmed_;
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -107,8 +107,8 @@
 void FleetController::Stop() {
   if (!host_) return;
   host_->Stop();
-  for (const auto& [group, run] : successions_) run->Stop();
-  successions_.clear();
+  for (const auto& [group, run] : replacements_) run->Stop();
+  replacements_.clear();
   relays_.clear();
   waiting_.clear();
   for (const LinkPtr& link : notices_) link->Close();
@@ -156,8 +156,8 @@
   rounds_.Abandon();
   std::map<LogIndex, PendingPut> pending = std::exchange(pending_, {});
   for (auto& [index, put] : pending) put.done({});
-  for (const auto& [group, run] : successions_) run->Stop();
-  successions_.clear();
+  for (const auto& [group, run] : replacements_) run->Stop();
+  replacements_.clear();
   changes_ = 0;
   tokens_ = 0;
   confirmed_.clear();
--- a/fleet/src/fleet_controller_primaries.cc
+++ b/fleet/src/fleet_controller_primaries.cc
@@ -60,7 +60,7 @@
 }
 
 void FleetController::NoteCopies(const GroupId& group) {
-  if (!host_->leading() || successions_.contains(group)) return;
+  if (!host_->leading() || replacements_.contains(group)) return;
   Time now = Now();
   auto [known, is_new] = copies_.try_emplace(group);
   if (is_new && HasRecentLoss(group, now)) known->second.lost_at = now;
@@ -79,7 +79,7 @@
   const Layout* layout = ParsedLayout();
   if (layout == nullptr) return;
   for (const auto& [group, limits] : layout->groups) {
-    if (!successions_.contains(group)) ReviewPrimary(group, now);
+    if (!replacements_.contains(group)) ReviewPrimary(group, now);
   }
 }
 
@@ -114,18 +114,18 @@
                       return member->id != primary->id && !member->leaving;
                     });
     if (can_follow)
-      return StartSuccession(group, PrimaryReplacementCause::kLeaving);
+      return ReplacePrimary(group, PrimaryReplacementCause::kLeaving);
   }
   if (contradicted)
-    return StartSuccession(group, PrimaryReplacementCause::kReview);
+    return ReplacePrimary(group, PrimaryReplacementCause::kReview);
   // A lease is granted only on a primary that this leader has confirmed.
   if (!OrdersOf(group).empty())
-    return StartSuccession(group, PrimaryReplacementCause::kReview);
+    return ReplacePrimary(group, PrimaryReplacementCause::kReview);
   auto copies = copies_.find(group);
   bool check_due =
       copies != copies_.end() && IsCopyCheckDue(copies->second, now);
   if (!confirmed_.contains(group) || check_due)
-    StartSuccession(group, PrimaryReplacementCause::kConfirm);
+    ReplacePrimary(group, PrimaryReplacementCause::kConfirm);
 }
 
 std::optional<GrantableLeases> FleetController::Grantable() const {
@@ -184,8 +184,8 @@
   PrimaryReplacementCause cause = report.trouble == EndpointProblem::kStalled
                                       ? PrimaryReplacementCause::kStalled
                                       : PrimaryReplacementCause::kTrouble;
-  auto running = successions_.find(report.group);
-  if (running != successions_.end()) return running->second->Suspect(cause);
+  auto running = replacements_.find(report.group);
+  if (running != replacements_.end()) return running->second->Suspect(cause);
   bool just_set = Now() - primary_set_at_[report.group] < kReviewInterval;
   if (just_set) return;
   LogLine(LogLevel::kInfo, "lead_trouble")
@@ -193,7 +193,7 @@
       .Field("endpoint", report.endpoint)
       .Field("trouble", ToString(report.trouble))
       .Field("observer", report.observer);
-  StartSuccession(report.group, cause);
+  ReplacePrimary(report.group, cause);
 }
 
 /// Handles a replica that exceeds the staleness that reads allow. If all
@@ -205,10 +205,10 @@
   const Layout* layout = ParsedLayout();
   if (layout == nullptr) return;
   std::optional<Duration> bound = StrictestStaleness(*layout, report.group);
-  if (!bound || successions_.contains(report.group)) return;
+  if (!bound || replacements_.contains(report.group)) return;
   if (Now() < next_lag_look_[report.group]) return;
   next_lag_look_[report.group] = Now() + kLagCheckInterval;
-  StartSuccession(report.group, PrimaryReplacementCause::kLagging, *bound);
+  ReplacePrimary(report.group, PrimaryReplacementCause::kLagging, *bound);
 }
 
 void FleetController::SetPrimary(const GroupId& group,
@@ -295,21 +295,21 @@
     bool review = cause == PrimaryReplacementCause::kReview;
     next_review_[group] =
         Now() + (review ? kContradictionInterval : kReviewInterval);
-    successions_.erase(group);
+    replacements_.erase(group);
     NoteCopies(group);
   };
   return params;
 }
 
-void FleetController::StartSuccession(const GroupId& group,
-                                      PrimaryReplacementCause cause,
-                                      Duration lag_bound) {
+void FleetController::ReplacePrimary(const GroupId& group,
+                                     PrimaryReplacementCause cause,
+                                     Duration lag_bound) {
   if (!KnowsOrders()) return;
   NoteCopies(group);
   std::shared_ptr<PrimaryReplacement> run =
       std::make_shared<PrimaryReplacement>(
           ReplacementParams(group, cause, lag_bound));
-  successions_[group] = run;
+  replacements_[group] = run;
   run->Start();
 }
 
--- a/fleet/test/departures-test.cc
+++ b/fleet/test/departures-test.cc
@@ -42,14 +42,14 @@
 }
 
 /// Waits until the relay knows the endpoint, so that it may be looked up.
-void WaitForEndpoint(Succession* s, const EndpointId& id) {
+void WaitForEndpoint(ReplacementFixture* s, const EndpointId& id) {
   BOOST_REQUIRE(s->cluster.RunUntil(
       [&] { return s->listener->directory.endpoints.contains(id); }));
 }
 
 /// A group whose replica "g1-1" has left, as announced, and started again under
 /// its id.
-struct Restarted : Succession {
+struct Restarted : ReplacementFixture {
   Restarted() {
     WaitForEndpoint(this, id);
     EndpointRecord leaving = group.Record(1, "a", ++sequence);
@@ -159,7 +159,7 @@
 /// Guards against the same by a heartbeat of another writer, which lacks a
 /// field or has it of another type, and has the address of a replica.
 BOOST_AUTO_TEST_CASE(an_odd_heartbeat_hides_no_endpoint) {
-  Succession s;
+  ReplacementFixture s;
   WaitForEndpoint(&s, EndpointId("g1-1"));
   const EndpointId other("i-other");
   std::string text =
@@ -191,7 +191,7 @@
 /// Guards against an endpoint that is hidden for good by another writer's entry
 /// that lacks nothing: a later start at the replica's address.
 BOOST_AUTO_TEST_CASE(an_entry_at_its_address_hides_no_endpoint_that_goes_on) {
-  Succession s;
+  ReplacementFixture s;
   WaitForEndpoint(&s, EndpointId("g1-1"));
   EndpointRecord other = s.group.Record(1, "a", 1);
   other.id = EndpointId("i-other");
@@ -214,7 +214,7 @@
 /// Guards against the same by a leave that names the endpoint's own process: it
 /// is not known how it came about, and the endpoint goes on.
 BOOST_AUTO_TEST_CASE(an_endpoint_that_goes_on_after_a_leave_comes_back) {
-  Succession s;
+  ReplacementFixture s;
   const EndpointId id("g1-1");
   WaitForEndpoint(&s, id);
   BOOST_REQUIRE(s.cluster.RunUntil([&] {
--- a/fleet/test/fleet_controller-test.cc
+++ b/fleet/test/fleet_controller-test.cc
@@ -180,7 +180,7 @@
 /// gone after another writer had announced its address for a group that no
 /// layout names, and a replica that lacked commits was promoted.
 BOOST_AUTO_TEST_CASE(an_announcement_of_an_unnamed_group_replaces_nobody) {
-  Succession s;
+  ReplacementFixture s;
   EndpointRecord replica = s.group.Record(1, "a", 1);
   EndpointRecord foreign = replica;
   foreign.group = GroupId("nobody");
--- a/fleet/test/lost_copies-test.cc
+++ b/fleet/test/lost_copies-test.cc
@@ -10,14 +10,14 @@
 BOOST_AUTO_TEST_SUITE(lost_copies)
 
 /// The member's announcement that it is about to shut down.
-void AnnounceLeaving(Succession* s, size_t member) {
+void AnnounceLeaving(ReplacementFixture* s, size_t member) {
   EndpointRecord leaving = s->group.Record(member, "a", ++s->sequence);
   leaving.leaving = true;
   BOOST_REQUIRE(
       s->cluster.RunUntil([&] { return s->cluster.At(0)->Announce(leaving); }));
 }
 
-void ShutDown(Succession* s, size_t member) {
+void ShutDown(ReplacementFixture* s, size_t member) {
   s->group.Kill(member);
   s->group.member(member).cut_off = true;
   BOOST_REQUIRE(s->cluster.RunUntil([&] {
@@ -25,7 +25,7 @@
   }));
 }
 
-void CrashPrimary(Succession* s, size_t member = 0) {
+void CrashPrimary(ReplacementFixture* s, size_t member = 0) {
   s->group.Kill(member);
   s->group.member(member).is_primary = false;
   s->listener->link->Report(GroupId("g1"), s->group.member(member).id,
@@ -33,7 +33,7 @@
 }
 
 /// The crashed primary's log at a new id.
-void ReturnPrimary(Succession* s, size_t member = 0) {
+void ReturnPrimary(ReplacementFixture* s, size_t member = 0) {
   LineMember& returned = s->group.member(3);
   returned.is_primary = true;
   returned.term = s->group.member(member).term;
@@ -48,7 +48,7 @@
 
 BOOST_AUTO_TEST_CASE(
     commits_that_only_a_replica_that_left_had_wait_for_the_primary) {
-  Succession s(4);
+  ReplacementFixture s(4);
   s.group.member(2).cut_off = true;
   s.group.member(3).cut_off = true;
   BOOST_REQUIRE(s.group.Commit("k", "kept"));
@@ -70,7 +70,7 @@
 /// The control leader has not read the position of the replica that left.
 BOOST_AUTO_TEST_CASE(
     commits_that_a_replica_took_along_before_the_crash_wait_for_the_primary) {
-  Succession s(4);
+  ReplacementFixture s(4);
   s.group.member(2).cut_off = true;
   s.group.member(3).cut_off = true;
   s.cluster.RunUntil([] { return false; }, Millis(500));
@@ -93,7 +93,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_replica_that_left_delays_nothing_once_another_has_all) {
-  Succession s;
+  ReplacementFixture s;
   s.cluster.RunUntil([] { return false; }, Millis(500));
   BOOST_REQUIRE(s.group.Commit("k", "kept"));
   ShutDown(&s, 1);
@@ -104,7 +104,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(commits_that_only_the_new_primary_has_wait_for_it) {
-  Succession s(4);
+  ReplacementFixture s(4);
   s.group.member(2).cut_off = true;
   s.group.member(3).cut_off = true;
   BOOST_REQUIRE(s.group.Commit("k", "kept"));
@@ -124,7 +124,7 @@
 
 /// It has left for good, and its log with it.
 BOOST_AUTO_TEST_CASE(a_primary_that_does_not_return_is_replaced_by_the_best) {
-  Succession s;
+  ReplacementFixture s;
   s.group.member(2).cut_off = true;
   BOOST_REQUIRE(s.group.Commit("k", "lost"));
   s.cluster.RunUntil([] { return false; }, Millis(500));
--- a/fleet/test/primary_lease_server-test.cc
+++ b/fleet/test/primary_lease_server-test.cc
@@ -188,7 +188,7 @@
 
 /// Runs until another primary than the first is in use. Returns whether the
 /// relay never had a lease on the first one then.
-bool NoLeaseOnFormer(Succession* s) {
+bool NoLeaseOnFormer(ReplacementFixture* s) {
   bool overlap = false;
   bool replaced = s->cluster.RunUntil([&] {
     bool other = s->LeadIs("g1-1") || s->LeadIs("g1-2");
@@ -201,7 +201,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(no_relay_may_use_a_replaced_primary_that_goes_on) {
-  Succession s;
+  ReplacementFixture s;
   s.group.SetReplacedGoesOn();
   auto leased = [&] {
     s.listener->RenewLease();
@@ -223,7 +223,7 @@
 
 BOOST_AUTO_TEST_CASE(
     leases_are_granted_by_all_members_until_they_lose_contact) {
-  Succession s;
+  ReplacementFixture s;
   size_t follower = (*s.cluster.Leader() + 1) % 3;
   Listener relay(&s.cluster, "relay-b", follower);
   auto leased = [&] {
@@ -245,7 +245,7 @@
 /// control leader that has confirmed a primary need not reach a replica again:
 /// only that leader could have replaced it.
 BOOST_AUTO_TEST_CASE(checks_that_change_nothing_take_no_lease_away) {
-  Succession s;
+  ReplacementFixture s;
   // Whether a request of the last 600 ms got a lease.
   auto leased = [&] {
     s.listener->RenewLease();
--- a/fleet/test/primary_replacement-test.cc
+++ b/fleet/test/primary_replacement-test.cc
@@ -10,14 +10,14 @@
 BOOST_AUTO_TEST_SUITE(primary_replacement)
 
 /// Announces that the primary is about to shut down.
-void AnnounceLeaving(Succession* s) {
+void AnnounceLeaving(ReplacementFixture* s) {
   EndpointRecord leaving = s->group.Record(0, "a", ++s->sequence);
   leaving.leaving = true;
   BOOST_REQUIRE(s->cluster.At(0)->Announce(leaving));
 }
 
 BOOST_AUTO_TEST_CASE(a_dead_primary_is_replaced_by_what_received_most) {
-  Succession s;
+  ReplacementFixture s;
   s.group.member(1).received = 3;
   s.group.member(2).received = 5;
   s.group.Kill(0);
@@ -29,7 +29,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_primary_that_answers_is_kept) {
-  Succession s;
+  ReplacementFixture s;
   s.cluster.RunUntil([] { return false; }, Millis(500));
   s.Complain(EndpointProblem::kSilent);
   s.cluster.RunUntil([] { return false; }, Seconds(1));
@@ -38,7 +38,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(nobody_is_promoted_while_a_replica_is_silent) {
-  Succession s;
+  ReplacementFixture s;
   s.group.Kill(0);
   s.group.member(2).silent = true;
   s.cluster.RunUntil([] { return false; }, Millis(500));
@@ -51,7 +51,7 @@
 
 BOOST_AUTO_TEST_CASE(
     an_unanswered_order_is_followed_by_one_with_a_higher_token) {
-  Succession s;
+  ReplacementFixture s;
   s.group.Kill(0);
   s.lose_orders = 1;
   s.cluster.RunUntil([] { return false; }, Millis(500));
@@ -62,7 +62,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_lead_whose_replicas_all_lag_hands_over) {
-  Succession s;
+  ReplacementFixture s;
   BOOST_REQUIRE((s.cluster.Put(BoundedLayoutText(2)) == CallOutcome::kDone));
   s.group.member(1).lag_ms = 4000;
   s.group.member(2).lag_ms = 20;
@@ -82,7 +82,7 @@
 
 /// All connections of the primary are taken, so that control cannot ask it.
 BOOST_AUTO_TEST_CASE(a_primary_that_cannot_be_asked_is_not_replaced_for_lag) {
-  Succession s;
+  ReplacementFixture s;
   BOOST_REQUIRE((s.cluster.Put(BoundedLayoutText(2)) == CallOutcome::kDone));
   s.group.member(0).full = true;
   s.group.member(1).lag_ms = 4000;
@@ -96,7 +96,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_primary_without_a_free_connection_is_asked_again) {
-  Succession s;
+  ReplacementFixture s;
   s.cluster.RunUntil([] { return false; }, Millis(500));
   s.group.member(0).full = true;
   s.Complain(EndpointProblem::kSilent);
@@ -108,7 +108,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_leaving_primary_hands_over) {
-  Succession s;
+  ReplacementFixture s;
   EndpointRecord leaving = s.group.Record(0, "a", ++s.sequence);
   leaving.leaving = true;
   BOOST_REQUIRE(s.cluster.At(0)->Announce(leaving));
@@ -120,7 +120,7 @@
 /// A replica that no control member knows receives commits, and so has them
 /// acknowledged, while all known replicas are paused.
 BOOST_AUTO_TEST_CASE(no_commit_is_acknowledged_after_the_positions_are_read) {
-  Succession s(4);
+  ReplacementFixture s(4);
   int pauses = 0;
   bool acknowledged = false;
   s.group.on_pause = [&] {
@@ -135,7 +135,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_replica_that_joins_meanwhile_and_has_more_takes_over) {
-  Succession s(4);
+  ReplacementFixture s(4);
   s.group.member(1).cut_off = true;
   s.group.member(2).cut_off = true;
   BOOST_REQUIRE(s.group.Commit("k", "kept"));
@@ -150,7 +150,7 @@
 /// Nobody else has the newest commits, and the primary stays: it takes over
 /// again.
 BOOST_AUTO_TEST_CASE(a_lagging_group_keeps_the_primary_that_alone_has_all) {
-  Succession s(4);
+  ReplacementFixture s(4);
   BOOST_REQUIRE((s.cluster.Put(BoundedLayoutText(2)) == CallOutcome::kDone));
   for (size_t i = 1; i < 3; ++i) {
     s.group.member(i).cut_off = true;
@@ -166,7 +166,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_stalled_primary_acknowledges_nothing_more_either) {
-  Succession s(4);
+  ReplacementFixture s(4);
   int pauses = 0;
   bool acknowledged = false;
   s.group.on_pause = [&] {
@@ -182,7 +182,7 @@
 /// An earlier control leader demoted the primary and died. The replicas that it
 /// knew lack a commit that another one acknowledged.
 BOOST_AUTO_TEST_CASE(the_log_of_a_primary_that_is_found_demoted_counts) {
-  Succession s(4);
+  ReplacementFixture s(4);
   s.cluster.RunUntil([] { return false; }, Millis(500));
   s.group.member(1).cut_off = true;
   s.group.member(2).cut_off = true;
@@ -198,7 +198,7 @@
 /// finds them paused cannot know whether the request of an earlier one will
 /// still take effect.
 BOOST_AUTO_TEST_CASE(a_replacement_that_an_earlier_leader_began_is_completed) {
-  Succession s;
+  ReplacementFixture s;
   s.cluster.RunUntil([] { return false; }, Millis(500));
   s.group.member(1).paused_below = 2;
   s.group.member(2).paused_below = 2;
@@ -208,7 +208,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(tokens_rise_with_each_reign) {
-  Succession s;
+  ReplacementFixture s;
   s.group.Kill(0);
   s.cluster.RunUntil([] { return false; }, Millis(500));
   s.Complain(EndpointProblem::kRefused);
--- a/fleet/test/promotion_orders-test.cc
+++ b/fleet/test/promotion_orders-test.cc
@@ -14,7 +14,7 @@
 /// their fence token is not lower than one that it has seen.
 class LatePlatform {
  public:
-  explicit LatePlatform(Succession* s) : s_(s) {
+  explicit LatePlatform(ReplacementFixture* s) : s_(s) {
     s->cluster.on_promote = [this](const PromoteRequest& order,
                                    std::function<void(PromoteOutcome)> done) {
       if (on_order) on_order();
@@ -49,19 +49,19 @@
     return EndpointId();
   }
 
-  Succession* s_;
+  ReplacementFixture* s_;
   uint64_t seen_ = 0;
   std::vector<PromoteRequest> late_;
 };
 
-LineMember& MemberOf(Succession* s, const EndpointId& id) {
+LineMember& MemberOf(ReplacementFixture* s, const EndpointId& id) {
   size_t i = 0;
   while (s->group.member(i).id != id) ++i;
   return s->group.member(i);
 }
 
 /// Announces to the control leader that `joined` is there and `gone` is not.
-void Exchange(Succession* s, const EndpointRecord& joined,
+void Exchange(ReplacementFixture* s, const EndpointRecord& joined,
               const std::string& gone) {
   BOOST_REQUIRE(s->cluster.RunUntil([&] {
     std::optional<size_t> leader = s->cluster.Leader();
@@ -72,7 +72,7 @@
 
 /// Commits at the group's primary as a caller of a relay would. Returns whether
 /// the relay passes on an acknowledgement.
-bool CommitUnderLease(Succession* s, const std::string& data) {
+bool CommitUnderLease(ReplacementFixture* s, const std::string& data) {
   s->listener->RenewLease();
   for (size_t i = 0; i < s->group.size(); ++i) {
     const LineMember& member = s->group.member(i);
@@ -84,7 +84,7 @@
 
 BOOST_AUTO_TEST_CASE(
     a_primary_that_came_back_loses_nothing_to_an_outstanding_order) {
-  Succession s(4);
+  ReplacementFixture s(4);
   LatePlatform platform(&s);
   platform.unanswered = 1;
   s.group.member(3).cut_off = true;
@@ -116,7 +116,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_order_that_was_sent_twice_takes_effect_once) {
-  Succession s;
+  ReplacementFixture s;
   LatePlatform platform(&s);
   platform.unanswered = 1;
   s.cluster.RunUntil([] { return false; }, Millis(500));
@@ -143,7 +143,7 @@
 /// The control members cannot reach the primary, the relay can, and a replica
 /// that nobody has announced yet receives from it.
 BOOST_AUTO_TEST_CASE(nothing_is_acknowledged_once_an_order_is_sent) {
-  Succession s(4);
+  ReplacementFixture s(4);
   LatePlatform platform(&s);
   s.group.member(3).cut_off = true;
   BOOST_REQUIRE(
@@ -170,7 +170,7 @@
 
 /// The replicas' pauses, by which a leader could tell, are gone.
 BOOST_AUTO_TEST_CASE(a_new_control_leader_knows_of_an_outstanding_order) {
-  Succession s(4);
+  ReplacementFixture s(4);
   LatePlatform platform(&s);
   platform.unanswered = 1'000;
   s.group.member(3).cut_off = true;
--- a/fleet/test/replacement_fixture.h
+++ b/fleet/test/replacement_fixture.h
@@ -126,9 +126,9 @@
 };
 
 /// A group of three behind a cluster that looks after its lead.
-struct Succession {
+struct ReplacementFixture {
   /// The first three of `members` have announced themselves.
-  explicit Succession(size_t members = 3)
+  explicit ReplacementFixture(size_t members = 3)
       : cluster(3), group(&cluster.io, "g1", members) {
     cluster.on_promote = [this](const PromoteRequest& order,
                                 std::function<void(PromoteOutcome)> done) {
--- a/policy/test/replacement/primary_replacement-test.cc
+++ b/policy/test/replacement/primary_replacement-test.cc
@@ -32,7 +32,7 @@
   return answer;
 }
 
-BOOST_AUTO_TEST_SUITE(succession)
+BOOST_AUTO_TEST_SUITE(primary_replacement)
 
 BOOST_AUTO_TEST_CASE(a_primary_is_replaced_for_lag_only_if_all_replicas_lag) {
   MemberStatus lead = Member("p", true, 1, 40, 0);
