Name what an announcement is given before it is merged

WithKnownRevivals says what Continue did. Comments and the design page follow what Merge and Expire do now. No function changes; the tests of the directory pass.

--- a/fleet/src/fleet_controller_announcements.cc
+++ b/fleet/src/fleet_controller_announcements.cc
@@ -13,7 +13,7 @@
     return true;
   }
   DirectoryDelta delta;
-  delta.endpoints.push_back(Continue(directory_, record));
+  delta.endpoints.push_back(WithKnownRevivals(directory_, record));
   TakeDelta(delta, false);
   return true;
 }
@@ -80,7 +80,7 @@
   RefreshNamedGroups();
   DirectoryDelta delta;
   for (const EndpointRecord& record : TakeNamed(unnamed_, named_groups_, now))
-    delta.endpoints.push_back(Continue(directory_, record));
+    delta.endpoints.push_back(WithKnownRevivals(directory_, record));
   if (!delta.Empty()) TakeDelta(delta, false);
 }
 
--- a/policy/include/cardamomchute/policy/routing/directory.h
+++ b/policy/include/cardamomchute/policy/routing/directory.h
@@ -83,7 +83,7 @@
   MSGPACK_DEFINE(endpoints, relays, primaries)
 };
 
-/// Announcements of a process that counts as ended.
+/// A series of announcements of a process that counts as ended.
 struct LifeSigns {
   uint64_t started_ms = 0;
   uint64_t sequence = 0;  ///< of the last one
@@ -100,8 +100,8 @@
   std::map<EndpointId, Time> leaving_since;
   std::map<VmId, Time> relay_heard;
   std::map<EndpointId, LifeSigns> life_signs;
-  /// Indexes of `endpoints`, kept by Merge and Expire. Announcements arrive by
-  /// the thousand a second, and each asks who else has its address.
+  /// Indexes of `endpoints`, kept by Merge and Expire: looks at a group, and at
+  /// who else has a silent endpoint's address, must not read all records.
   std::map<Address, std::set<EndpointId>> endpoints_at;
   std::map<GroupId, std::set<EndpointId>> endpoints_of;
 };
@@ -139,8 +139,10 @@
 /// Adds the records of `from`, which may be newer than those of `to`.
 void Append(DirectoryDelta* to, const DirectoryDelta& from);
 
-/// Returns `announced`, as its endpoint said it, as it continues what is known.
-EndpointRecord Continue(const Directory& directory, EndpointRecord announced);
+/// Returns what an endpoint announced, with the `revivals` that are known of
+/// it: announcements do not have them, and are ordered by them.
+EndpointRecord WithKnownRevivals(const Directory& directory,
+                                 EndpointRecord announced);
 
 /// Merges records and returns those that changed the routing.
 ///
--- a/policy/src/routing/directory_merge.cc
+++ b/policy/src/routing/directory_merge.cc
@@ -171,7 +171,8 @@
 
 }  // namespace
 
-EndpointRecord Continue(const Directory& directory, EndpointRecord announced) {
+EndpointRecord WithKnownRevivals(const Directory& directory,
+                                 EndpointRecord announced) {
   auto known = directory.endpoints.find(announced.id);
   if (known != directory.endpoints.end())
     announced.revivals = known->second.revivals;
--- a/policy/test/routing/directory-test.cc
+++ b/policy/test/routing/directory-test.cc
@@ -146,7 +146,7 @@
   constexpr Duration kInterval = Millis(1200);
   for (Time now = from; now <= until; now = now + kInterval) {
     ++record->sequence;
-    Merge(directory, Of(Continue(directory, *record)), now);
+    Merge(directory, Of(WithKnownRevivals(directory, *record)), now);
     Expire(directory, now);
   }
 }
@@ -206,7 +206,7 @@
   BOOST_TEST(Merge(directory, Of(Endpoint("e", 2, 20, 8)), Time(5000)).Empty());
   // The next start replaces it.
   EndpointRecord next = Endpoint("e", 1, 30, 1);
-  Merge(directory, Of(Continue(directory, next)), Time(6000));
+  Merge(directory, Of(WithKnownRevivals(directory, next)), Time(6000));
   BOOST_TEST(known.started_ms == 30u);
 }
 
@@ -311,7 +311,7 @@
         static_cast<uint64_t>(step / 100), static_cast<uint64_t>(step));
     record.group = GroupId("g" + std::to_string(pick(4)));
     record.gone = pick(5) == 0;
-    Merge(directory, Of(Continue(directory, record)), now);
+    Merge(directory, Of(WithKnownRevivals(directory, record)), now);
     if (pick(20) == 0) {
       Expire(directory, now);
       CheckReplaced(directory, now);
