Keep the platform's names in the texts of its tests

departures-test wrote fields of a heartbeat by their names on the platform; the texts are platform_texts.h's now. The same seven texts, the same checks.

--- a/fleet/test/departures-test.cc
+++ b/fleet/test/departures-test.cc
@@ -162,21 +162,8 @@
   ReplacementFixture s;
   WaitForEndpoint(&s, EndpointId("g1-1"));
   const EndpointId other("i-other");
-  std::string text =
-      AnnouncementText(s.group.member(1).address, false, /*sequence=*/1);
-  auto without = [&text](const std::string& from, const std::string& to) {
-    std::string odd = text;
-    odd.replace(odd.find("\"born\":1"), 8, "\"born\":2");
-    odd.replace(odd.find(from), from.size(), to);
-    return odd;
-  };
   for (const std::string& odd :
-       {without("\"version\":\"v1\",", ""),
-        without("\"version\":\"v1\"", "\"version\":1"),
-        without("\"coldLeftMs\":0,", ""),
-        without("\"coldLeftMs\":0", "\"coldLeftMs\":\"none\""),
-        without("\"coldLeftMs\":0", "\"coldLeftMs\":-1"),
-        without(",\"born\":2", ""), without("\"born\":2", "\"born\":2.5")}) {
+       IncompleteAnnouncementTexts(s.group.member(1).address)) {
     BOOST_TEST_CONTEXT(odd) {
       BOOST_TEST(Post(&s.cluster, 0, other, AnnouncementPath(other), odd) ==
                  kBadRequest);
