Let control alone find endpoints alive that count as ended

What callers could see: no case shows it. A relay that holds an endpoint as gone and gets records of it that are not, from members that are behind, found it alive by itself. Its record then had more `revivals` than those of control, so the relay ignored what control said next, also that the endpoint leaves.

Cause: Merge, which relays use too, took every record for an announcement.

Change: Merge only orders records. What control members hear is looked at before it is merged, in policy/routing/endpoint_revival; they pass on what they find, and log it (endpoint_revived). A member that has not learned of a revival passes announcements on without it; these are no longer ignored for good.

--- a/fleet/include/cardamomchute/fleet/fleet_controller.h
+++ b/fleet/include/cardamomchute/fleet/fleet_controller.h
@@ -28,6 +28,7 @@
 #include "cardamomchute/policy/documents/layout.h"
 #include "cardamomchute/policy/documents/layout_push.h"
 #include "cardamomchute/policy/routing/endpoint_leave.h"
+#include "cardamomchute/policy/routing/endpoint_revival.h"
 #include "cardamomchute/policy/routing/unnamed_announcements.h"
 
 namespace cardamomchute {
@@ -246,6 +247,7 @@
   uint64_t logged_confirmed_ = 0;  ///< last version logged as confirmed
   uint64_t logged_overdue_ = 0;    ///< last version logged as overdue
   Directory directory_;
+  RevivalEvidence revival_evidence_;
   UnnamedAnnouncements unnamed_;
   /// The groups that layout `named_version_` names.
   std::set<GroupId> named_groups_;
--- a/fleet/src/fleet_controller.cc
+++ b/fleet/src/fleet_controller.cc
@@ -220,10 +220,24 @@
 }
 
 /// Merges `delta` into the directory. A delta that did not come from another
-/// member is queued for the other members, too.
+/// member is queued for the other members, too, and so are endpoints that it
+/// shows to be alive.
 void FleetController::TakeDelta(const DirectoryDelta& delta, bool from_member) {
-  DirectoryDelta changed = Merge(directory_, delta, Now());
+  Time now = Now();
+  DirectoryDelta revived;
+  revived.endpoints =
+      FindRevived(&revival_evidence_, directory_, delta.endpoints, now);
+  DirectoryDelta changed = Merge(directory_, delta, now);
+  Append(&changed, Merge(directory_, revived, now));
   if (!from_member) Append(&to_members_, delta);
+  Append(&to_members_, revived);
+  for (const EndpointRecord& record : revived.endpoints) {
+    LogLine(LogLevel::kInfo, "endpoint_revived")
+        .Field("endpoint", record.id)
+        .Field("born_ms", record.started_ms)
+        .Field("sequence", record.sequence)
+        .Field("revivals", record.revivals);
+  }
   OnDirectoryChange(changed, !from_member);
 }
 
@@ -259,6 +273,7 @@
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpiryInterval;
   OnDirectoryChange(Expire(directory_, now), false);
+  ExpireEvidence(&revival_evidence_, now);
 }
 
 void FleetController::OnTick(Time now) {
--- a/policy/include/cardamomchute/policy/routing/directory.h
+++ b/policy/include/cardamomchute/policy/routing/directory.h
@@ -37,7 +37,7 @@
   bool claims_primary = false;  ///< it reports to be the primary
   uint64_t started_ms = 0;      ///< start of its process, by its own wall clock
   uint64_t sequence = 0;        ///< announcement number within one run
-  /// How often its process was found alive after it had counted as ended.
+  /// How often control has found its process alive that counted as ended.
   uint64_t revivals = 0;
 
   MSGPACK_DEFINE(id, group, address, zone, slots, leaving, gone, claims_primary,
@@ -83,14 +83,6 @@
   MSGPACK_DEFINE(endpoints, relays, primaries)
 };
 
-/// A series of announcements of a process that counts as ended.
-struct LifeSigns {
-  uint64_t started_ms = 0;
-  uint64_t sequence = 0;  ///< of the last one
-  Time first;
-  Time last;
-};
-
 struct Directory {
   std::map<EndpointId, EndpointRecord> endpoints;
   std::map<VmId, RelayRecord> relays;
@@ -99,7 +91,6 @@
   /// When this VM learned that an endpoint leaves.
   std::map<EndpointId, Time> leaving_since;
   std::map<VmId, Time> relay_heard;
-  std::map<EndpointId, LifeSigns> life_signs;
   /// Indexes of `endpoints`, kept by Merge and Expire: looks at a group, and at
   /// who else has a silent endpoint's address, must not read all records.
   std::map<Address, std::set<EndpointId>> endpoints_at;
@@ -115,11 +106,6 @@
 /// An endpoint whose address a later start has is gone once it has been silent
 /// for this long. Endpoints announce themselves about every 1.2 s.
 inline constexpr Duration kReplacedSilence = Millis(2500);
-/// A process that counts as ended and goes on announcing itself for this long
-/// is alive. Late announcements arrive together, when a partition heals.
-inline constexpr Duration kRevivalTime = Seconds(3);
-/// Announcements further apart than this do not belong together.
-inline constexpr Duration kMaxLifeSignGap = Seconds(5);
 
 /// An endpoint gets no new statements from a VM that has known for this long
 /// that it leaves. The platform allows 7 s from when control acknowledged it.
@@ -133,9 +119,14 @@
 /// since 1970: it would replace what is at its address, and never be replaced.
 Status CheckStart(const EndpointRecord& record, uint64_t wall_ms);
 
-/// Returns whether `a` follows `b`, of the same endpoint.
+/// Returns whether `a` replaces `b`, of the same endpoint: by `revivals`, then
+/// `started_ms`, then `sequence`.
 bool Newer(const EndpointRecord& a, const EndpointRecord& b);
 
+/// Returns whether both, of the same endpoint, are of one process as control
+/// knows it.
+bool SameProcess(const EndpointRecord& a, const EndpointRecord& b);
+
 /// Adds the records of `from`, which may be newer than those of `to`.
 void Append(DirectoryDelta* to, const DirectoryDelta& from);
 
@@ -147,9 +138,8 @@
 /// Merges records and returns those that changed the routing.
 ///
 /// An endpoint that is gone stays so until another process of it starts, as
-/// announcements may be late, or until its process has gone on announcing
-/// itself for kRevivalTime. The same brings back a process that counts as
-/// followed by another one, which is silent meanwhile.
+/// announcements may be late, or until control finds it alive (see
+/// endpoint_revival.h).
 DirectoryDelta Merge(Directory& directory, const DirectoryDelta& delta,
                      Time now);
 
--- a/policy/include/cardamomchute/policy/routing/endpoint_leave.h
+++ b/policy/include/cardamomchute/policy/routing/endpoint_leave.h
@@ -21,6 +21,7 @@
   std::optional<uint64_t> started_ms;
 };
 
+/// What a leave means for the process that is known.
 enum class LeaveEffect : uint8_t {
   kEnds,   ///< the known process ends
   kNone,   ///< nothing is known under the id, or the process counts as gone
--- a/policy/src/routing/directory.cc
+++ b/policy/src/routing/directory.cc
@@ -25,6 +25,10 @@
          std::tie(b.revivals, b.started_ms, b.sequence);
 }
 
+bool SameProcess(const EndpointRecord& a, const EndpointRecord& b) {
+  return a.started_ms == b.started_ms && a.revivals == b.revivals;
+}
+
 uint32_t SlotsForBandwidth(double link_mbps) {
   double slots = std::clamp(link_mbps / kSlotMbps, 1.0,
                             static_cast<double>(kSlotsPerHolder));
--- a/policy/src/routing/directory_merge.cc
+++ b/policy/src/routing/directory_merge.cc
@@ -66,44 +66,11 @@
   directory.endpoint_heard[record.id] = now;
 }
 
-bool SameProcess(const EndpointRecord& a, const EndpointRecord& b) {
-  return a.started_ms == b.started_ms && a.revivals == b.revivals;
-}
-
-/// Whether `record` says that its process is alive although `known`, of the
-/// same endpoint, says that it has ended.
-bool Contradicts(const EndpointRecord& record, const EndpointRecord& known) {
-  if (record.gone || record.revivals != known.revivals) return false;
-  bool after_end = known.gone && record.started_ms == known.started_ms &&
-                   record.sequence > known.sequence;
-  return after_end || record.started_ms < known.started_ms;
-}
-
-/// Notes an announcement that contradicts what is known. Returns whether its
-/// process has gone on for long enough.
-bool NoteLifeSign(Directory& directory, const EndpointRecord& record,
-                  Time now) {
-  LifeSigns begun{record.started_ms, record.sequence, now, now};
-  auto [found, is_new] = directory.life_signs.try_emplace(record.id, begun);
-  LifeSigns& signs = found->second;
-  bool same_series = signs.started_ms == record.started_ms &&
-                     now - signs.last <= kMaxLifeSignGap;
-  if (!same_series) signs = begun;
-  if (is_new || !same_series || record.sequence <= signs.sequence) return false;
-  signs.sequence = record.sequence;
-  signs.last = now;
-  return now - signs.first >= kRevivalTime;
-}
-
 void MergeEndpoint(Directory& directory, EndpointRecord record, Time now,
                    DirectoryDelta* changed) {
   auto found = directory.endpoints.find(record.id);
   EndpointRecord* known =
       found == directory.endpoints.end() ? nullptr : &found->second;
-  if (known != nullptr && Contradicts(record, *known) &&
-      NoteLifeSign(directory, record, now)) {
-    record.revivals = known->revivals + 1;
-  }
   if (known != nullptr && !Newer(record, *known)) {
     bool ended = record.gone && !known->gone && SameProcess(record, *known);
     if (!ended) return;
@@ -113,7 +80,6 @@
   }
   if (known != nullptr && known->gone && SameProcess(record, *known))
     record.gone = true;
-  if (!record.gone) directory.life_signs.erase(record.id);
   bool news = known == nullptr || !EqualForRouting(*known, record);
   Store(directory, record, now);
   if (news) changed->endpoints.push_back(record);
@@ -210,9 +176,6 @@
   DirectoryDelta changed;
   ExpireRelays(directory, now, &changed);
   ExpireEndpoints(directory, now, &changed);
-  std::erase_if(directory.life_signs, [now](const auto& item) {
-    return now - item.second.last > kMaxLifeSignGap;
-  });
   return changed;
 }
 
