Bring back an endpoint whose announcements look late for good

An entry under a replica's id, with its start and a higher number, made its own announcements look late; nothing brought it back.

Cause: endpoint_revival looked at processes that count as ended or as followed by another one, not at one whose number somebody else had used.

Change: announcements of the known process with a lower number count as contradicting, if nothing newer comes of it meanwhile. Those that another member passed on out of order are followed by newer ones and prove nothing.

--- a/fleet/test/departures-test.cc
+++ b/fleet/test/departures-test.cc
@@ -224,6 +224,30 @@
       [&] { return MembersOf(later.directory, GroupId("g1")).size() == 3; }));
 }
 
+/// Guards against the same by an entry under the endpoint's id, with its start
+/// and a number ahead of its own: its announcements then all look late.
+BOOST_AUTO_TEST_CASE(an_entry_with_a_higher_number_hides_no_endpoint_for_good) {
+  ReplacementFixture s;
+  const EndpointId id("g1-1");
+  WaitForEndpoint(&s, id);
+  const Address address = s.group.member(1).address;
+  EndpointRecord other = s.group.Record(1, "a", 1'000'000);
+  other.address = Address{"10.0.0.1", 9};
+  BOOST_REQUIRE(
+      s.cluster.RunUntil([&] { return s.cluster.At(0)->Announce(other); }));
+  BOOST_REQUIRE(s.cluster.RunUntil([&] {
+    return s.listener->directory.endpoints.at(id).address == other.address;
+  }));
+  Time next = Now();
+  BOOST_TEST(s.cluster.RunUntil([&] {
+    if (Now() >= next) {
+      s.AnnounceAll();
+      next = Now() + Millis(500);
+    }
+    return s.listener->directory.endpoints.at(id).address == address;
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/policy/src/routing/endpoint_revival.cc
+++ b/policy/src/routing/endpoint_revival.cc
@@ -3,12 +3,13 @@
 namespace cardamomchute {
 namespace {
 
-/// Whether `announced` says that its process is alive although `known`, of the
-/// same endpoint, says that it has ended.
+/// Whether Merge would not take `announced` as it stands: `known`, of the same
+/// endpoint, says that its process has ended, or is ahead of it.
 bool Contradicts(const EndpointRecord& announced, const EndpointRecord& known) {
-  if (announced.gone || announced.revivals > known.revivals) return false;
+  if (announced.gone) return false;
   if (!SameProcess(announced, known)) return !Newer(announced, known);
-  return known.gone && announced.sequence > known.sequence;
+  return known.gone ? announced.sequence > known.sequence
+                    : announced.sequence < known.sequence;
 }
 
 /// Returns whether the series of `announced` has gone on for long enough.
--- a/policy/test/routing/endpoint_revival-test.cc
+++ b/policy/test/routing/endpoint_revival-test.cc
@@ -94,6 +94,35 @@
   BOOST_TEST(control.Known().started_ms == 30u);
 }
 
+/// Guards against the same by an entry with its start and a number ahead of its
+/// own.
+BOOST_AUTO_TEST_CASE(an_endpoint_whose_number_another_one_used_comes_back) {
+  Control control;
+  EndpointRecord live = Record(10, 5);
+  control.Hear(live, Time(0));
+  EndpointRecord other = Record(10, 1'000'000);
+  other.address = Address{"10.0.0.2", 9};
+  control.Hear(other, Time(100));
+  control.GoOn(&live, Time(1000), Time(3400));
+  BOOST_TEST((control.Known().address == other.address));
+  control.GoOn(&live, Time(4600), Time(4600));
+  BOOST_TEST((control.Known().address == live.address));
+  control.Take(other, Time(5000));
+  BOOST_TEST((control.Known().address == live.address));
+}
+
+/// An announcement that another member passed on faster makes those before it
+/// late, and they prove nothing.
+BOOST_AUTO_TEST_CASE(announcements_out_of_order_revive_nobody) {
+  Control control;
+  for (uint64_t i = 0; i < 40; ++i) {
+    Time now(static_cast<int64_t>(i * 300));
+    control.Hear(Record(10, i ^ 1), now);
+  }
+  BOOST_TEST(control.Known().revivals == 0u);
+  BOOST_TEST(control.Known().sequence == 39u);
+}
+
 /// A member that has not learned of a revival passes announcements on without
 /// it. They are not ignored for good.
 BOOST_AUTO_TEST_CASE(an_endpoint_that_a_member_knows_of_by_less_comes_back) {
