Check that late announcements revive nobody in between

late_announcements_bring_no_process_back looked at the end alone: a planted fault that never ends a series brought the earlier process back for a moment, unseen.

Result: the case fails with that fault planted, and passes without.

--- a/policy/test/routing/endpoint_revival-test.cc
+++ b/policy/test/routing/endpoint_revival-test.cc
@@ -153,6 +153,7 @@
     control.Hear(later, now + Millis(500));
   }
   BOOST_TEST(control.Known().started_ms == 20u);
+  BOOST_TEST(control.Known().revivals == 0u);
   for (int i = 0; i < 10; ++i)
     control.Hear(Record(10, 90), Time(30'000 + i * 1000));
   BOOST_TEST(control.Known().started_ms == 20u);
